--- /dev/null
+++ b/src/agent/endpointClient.ts
@@ -0,0 +1,174 @@
+/**
+ * Talks to the endpoint over HTTP: runs requests, resumes and cancels streams, probes health and
+ * gives orders. Each dispatch is sent at most once.
+ */
+
+import { Pool, type Dispatcher } from 'undici';
+import type { Dispatch, Header } from '../generated/dispatch.js';
+import type { Usage } from './types.js';
+
+const PROBE_TIMEOUT_MS = 1_000;
+const CONNECT_TIMEOUT_MS = 1_000;
+const ORDER_TIMEOUT_MS = 5_000;
+const TAIL_BYTES = 4_096;
+/** Idle connections are closed before a usual server does, so that no request meets a closing one. */
+const KEEP_ALIVE_MS = 3_000;
+/** Headers that belong to one connection only (RFC 9110, section 7.6.1). */
+const hopHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'te']);
+
+/** An answer whose body is still to be read. */
+export interface EndpointAnswer {
+  status: number;
+  headers: Header[];
+  body: Dispatcher.ResponseData['body'];
+  isEventStream: boolean;
+}
+
+export type SendResult =
+  | { kind: 'answer'; answer: EndpointAnswer }
+  /** No byte of the request reached the endpoint. */
+  | { kind: 'notSent'; reason: string }
+  | { kind: 'failed'; reason: string };
+
+/** A client of one endpoint. */
+export interface EndpointClient {
+  send(requestId: string, dispatch: Dispatch, signal: AbortSignal): Promise<SendResult>;
+  resume(requestId: string, offset: number, signal: AbortSignal): Promise<SendResult>;
+  cancel(requestId: string): Promise<void>;
+  isHealthy(): Promise<boolean>;
+  /** Whether the endpoint took the order. */
+  order(body: object, fencingToken: number): Promise<boolean>;
+  close(): Promise<void>;
+}
+
+/** Creates a client for the endpoint at `baseUrl`. */
+export function createEndpointClient(
+  baseUrl: string,
+  connections: number,
+  healthPath: string,
+): EndpointClient {
+  const timeouts = {
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+  };
+  const pool = new Pool(baseUrl, { connections, pipelining: 1, ...timeouts });
+  // Requests fill their own connections, so control has one of its own.
+  const control = new Pool(baseUrl, { connections: 2, pipelining: 1, ...timeouts });
+
+  return { send, resume, cancel, isHealthy, order, close };
+
+  function send(requestId: string, dispatch: Dispatch, signal: AbortSignal): Promise<SendResult> {
+    const headers: Record<string, string> = { 'x-request-id': requestId };
+    for (const header of dispatch.headers) headers[header.name] = header.value;
+    if (dispatch.traceparent !== '') headers.traceparent = dispatch.traceparent;
+    const body = dispatch.body.length > 0 ? dispatch.body : null;
+    const { method } = dispatch;
+    return perform({ path: dispatch.path, method, headers, body, signal });
+  }
+
+  function resume(requestId: string, offset: number, signal: AbortSignal): Promise<SendResult> {
+    return perform({ path: `${toStreamPath(requestId)}?offset=${offset}`, method: 'GET', signal });
+  }
+
+  async function perform(options: Dispatcher.RequestOptions): Promise<SendResult> {
+    try {
+      return { kind: 'answer', answer: toAnswer(await pool.request(options)) };
+    } catch (caught) {
+      const reason = toReason(caught);
+      return { kind: isConnectError(reason) ? 'notSent' : 'failed', reason };
+    }
+  }
+
+  async function cancel(requestId: string): Promise<void> {
+    try {
+      const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+      const answer = await control.request({
+        path: toStreamPath(requestId),
+        method: 'DELETE',
+        signal,
+      });
+      await answer.body.dump();
+    } catch {
+      // An endpoint that cannot be reached runs nothing that could be cancelled.
+    }
+  }
+
+  async function isHealthy(): Promise<boolean> {
+    try {
+      const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+      const answer = await control.request({ path: healthPath, method: 'GET', signal });
+      await answer.body.dump();
+      return answer.statusCode < 500;
+    } catch {
+      return false;
+    }
+  }
+
+  async function order(body: object, fencingToken: number): Promise<boolean> {
+    try {
+      const answer = await control.request({
+        path: '/v1/orders',
+        method: 'POST',
+        headers: { 'content-type': 'application/json', 'x-fencing-token': String(fencingToken) },
+        body: JSON.stringify(body),
+        signal: AbortSignal.timeout(ORDER_TIMEOUT_MS),
+      });
+      await answer.body.dump();
+      return answer.statusCode < 300;
+    } catch {
+      return false;
+    }
+  }
+
+  async function close(): Promise<void> {
+    await Promise.all([pool.destroy(), control.destroy()]);
+  }
+}
+
+/** Token counts from the end of an answer; zeros when it has none. */
+export function readUsage(tail: string): Usage {
+  const read = (name: string): number => {
+    const match = new RegExp(`"${name}"\\s*:\\s*(\\d+)`).exec(tail);
+    return match === null ? 0 : Number(match[1]);
+  };
+  return {
+    promptTokens: read('prompt_tokens'),
+    cachedTokens: read('cached_tokens'),
+    outputTokens: read('completion_tokens'),
+  };
+}
+
+/** The last bytes of a stream, as text. */
+export function keepTail(tail: Buffer, data: Buffer): Buffer {
+  if (data.length >= TAIL_BYTES) return data.subarray(data.length - TAIL_BYTES);
+  const joined = Buffer.concat([tail, data]);
+  return joined.length <= TAIL_BYTES ? joined : joined.subarray(joined.length - TAIL_BYTES);
+}
+
+function toAnswer(response: Dispatcher.ResponseData): EndpointAnswer {
+  const headers: Header[] = [];
+  for (const [name, value] of Object.entries(response.headers)) {
+    if (value === undefined || hopHeaders.has(name)) continue;
+    headers.push({ name, value: Array.isArray(value) ? value.join(', ') : value });
+  }
+  const type = String(response.headers['content-type'] ?? '');
+  const isEventStream = type.startsWith('text/event-stream');
+  return { status: response.statusCode, headers, body: response.body, isEventStream };
+}
+
+function toStreamPath(requestId: string): string {
+  return `/v1/streams/${encodeURIComponent(requestId)}`;
+}
+
+function toReason(caught: unknown): string {
+  const { code, message } = caught as { code?: string; message?: string };
+  return code ?? message ?? 'unknown';
+}
+
+function isConnectError(reason: string): boolean {
+  return ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'].includes(
+    reason,
+  );
+}
--- /dev/null
+++ b/src/agent/endpointWatch.ts
@@ -0,0 +1,89 @@
+/** Watches the endpoint's health and reports what was in flight when it crashed. */
+
+import type { Logger } from '../common/logging.js';
+import type { EndpointClient } from './endpointClient.js';
+import type { Job } from './types.js';
+
+const HEALTHY_INTERVAL_MS = 1_000;
+const FAILED_INTERVAL_MS = 200;
+/** Probes that must fail in a row while nothing else points to a failure. */
+const FAILURES_TO_SUSPECT = 3;
+
+/** What the watch needs from outside. */
+export interface EndpointWatchHost {
+  client: EndpointClient;
+  logger: Logger;
+  listRunning(): Job[];
+  /** Resolves when the report is known to all entries, or cannot be made. */
+  reportCrash(digests: string[]): Promise<void>;
+  onReady(): void;
+}
+
+/** The watch of one endpoint. */
+export interface EndpointWatch {
+  readonly isReady: boolean;
+  /** A run failed: the endpoint is probed; resolves when a crash was reported or ruled out. */
+  noteFailure(job: Job): Promise<void>;
+  stop(): void;
+}
+
+/** Starts watching; the endpoint counts as failed until it first answers. */
+export function createEndpointWatch(host: EndpointWatchHost): EndpointWatch {
+  let isReady = false;
+  let isStopped = false;
+  let failures = 0;
+  let timer: NodeJS.Timeout | undefined;
+  // Digests of the runs that failed since the last probe.
+  let failedDigests = new Set<string>();
+  let lastReport = Promise.resolve();
+  void probe();
+
+  return {
+    get isReady() {
+      return isReady;
+    },
+    noteFailure,
+    stop() {
+      isStopped = true;
+      clearTimeout(timer);
+    },
+  };
+
+  async function noteFailure(job: Job): Promise<void> {
+    if (job.digest !== '') failedDigests.add(job.digest);
+    failures = FAILURES_TO_SUSPECT;
+    await probe();
+    await lastReport;
+  }
+
+  async function probe(): Promise<void> {
+    clearTimeout(timer);
+    const isHealthy = await host.client.isHealthy();
+    if (isStopped) return;
+    if (isHealthy) noteHealthy();
+    else noteUnhealthy();
+    clearTimeout(timer);
+    timer = setTimeout(() => void probe(), isReady ? HEALTHY_INTERVAL_MS : FAILED_INTERVAL_MS);
+  }
+
+  function noteHealthy(): void {
+    failures = 0;
+    failedDigests = new Set();
+    if (isReady) return;
+    isReady = true;
+    host.logger.event('endpointReady', {});
+    host.onReady();
+  }
+
+  function noteUnhealthy(): void {
+    failures += 1;
+    if (!isReady || failures < FAILURES_TO_SUSPECT) return;
+    isReady = false;
+    for (const job of host.listRunning()) {
+      if (job.digest !== '' && job.state === 'running') failedDigests.add(job.digest);
+    }
+    host.logger.event('endpointLost', { requests: failedDigests.size });
+    if (failedDigests.size > 0) lastReport = host.reportCrash([...failedDigests]);
+    failedDigests = new Set();
+  }
+}
--- /dev/null
+++ b/src/agent/runner.ts
@@ -0,0 +1,113 @@
+/** Runs one request at the endpoint and forwards its answer, resuming a stream that was cut. */
+
+import type { AnswerStream } from './answerStream.js';
+import {
+  keepTail,
+  readUsage,
+  type EndpointAnswer,
+  type EndpointClient,
+  type SendResult,
+} from './endpointClient.js';
+import type { Job, RunOutcome, RunStart } from './types.js';
+
+const RESUME_ATTEMPTS = 20;
+const RESUME_DELAY_MS = 150;
+
+/** What a run needs from outside. */
+export interface RunnerHost {
+  client: EndpointClient;
+  isEngine: boolean;
+  now(): number;
+  wallTimeUs(): number;
+}
+
+type ReadResult = { kind: 'ended'; tail: string } | { kind: 'cut'; reason: string };
+
+/** Resolves when the answer has ended or cannot be completed. */
+export async function runJob(
+  host: RunnerHost,
+  job: Job,
+  start: RunStart,
+  stream: AnswerStream,
+  signal: AbortSignal,
+): Promise<RunOutcome> {
+  let result = await begin(host, job, start, signal);
+  let hasStarted = false;
+  for (let attempt = 0; attempt <= RESUME_ATTEMPTS; attempt += 1) {
+    if (job.stopReason !== undefined) return stopRun(host, job);
+    if (result.kind === 'notSent' && attempt === 0) return toNotSent(start, result.reason);
+    if (result.kind === 'answer') {
+      const { answer } = result;
+      const isResumable = host.isEngine && answer.isEventStream;
+      if (!hasStarted && start.kind === 'dispatch') stream.start(answer.status, answer.headers);
+      if (attempt > 0 && answer.status !== 200) {
+        await answer.body.dump();
+        return { kind: 'cut', reason: `resume was answered with ${answer.status}` };
+      }
+      hasStarted = true;
+      const read = await readAnswer(host, job, answer, stream);
+      if (read.kind === 'ended') return { kind: 'complete', usage: readUsage(read.tail) };
+      if (job.stopReason !== undefined) return stopRun(host, job);
+      if (!isResumable) return { kind: 'cut', reason: read.reason };
+    } else if (!hasStarted && start.kind === 'dispatch') {
+      return { kind: 'cut', reason: result.reason };
+    }
+    if (attempt > 0) await delay(RESUME_DELAY_MS);
+    result = await host.client.resume(job.requestId, stream.length, signal);
+  }
+  return { kind: 'cut', reason: 'the stream could not be resumed' };
+}
+
+function begin(
+  host: RunnerHost,
+  job: Job,
+  start: RunStart,
+  signal: AbortSignal,
+): Promise<SendResult> {
+  if (start.kind === 'dispatch') return host.client.send(job.requestId, start.dispatch, signal);
+  return host.client.resume(job.requestId, start.offset, signal);
+}
+
+function toNotSent(start: RunStart, reason: string): RunOutcome {
+  return start.kind === 'dispatch' ? { kind: 'notRun', reason } : { kind: 'cut', reason };
+}
+
+async function stopRun(host: RunnerHost, job: Job): Promise<RunOutcome> {
+  if (host.isEngine) await host.client.cancel(job.requestId);
+  return { kind: 'stopped', reason: job.stopReason ?? 'callerLeft' };
+}
+
+async function readAnswer(
+  host: RunnerHost,
+  job: Job,
+  answer: EndpointAnswer,
+  stream: AnswerStream,
+): Promise<ReadResult> {
+  let tail: Buffer = Buffer.alloc(0);
+  try {
+    for await (const data of answer.body) {
+      noteFirstByte(host, job);
+      job.pieces += 1;
+      tail = keepTail(tail, data as Buffer);
+      await stream.push(data as Buffer);
+    }
+  } catch (caught) {
+    return { kind: 'cut', reason: (caught as { code?: string }).code ?? 'the body was cut off' };
+  }
+  const text = tail.toString('utf8');
+  const isWhole =
+    !answer.isEventStream || !host.isEngine || text.trimEnd().endsWith('data: [DONE]');
+  return isWhole ? { kind: 'ended', tail: text } : { kind: 'cut', reason: 'no end mark' };
+}
+
+function noteFirstByte(host: RunnerHost, job: Job): void {
+  if (job.firstByteAt > 0) return;
+  job.firstByteAt = host.now();
+  job.span.firstByteUs = host.wallTimeUs();
+}
+
+function delay(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, milliseconds);
+  });
+}
--- /dev/null
+++ b/src/agent/scheduler.ts
@@ -0,0 +1,424 @@
+/**
+ * Decides which reservation gets the endpoint's room next. Reservations wait in a p-queue; a task
+ * of the queue spans the time from the grant until the request has ended.
+ */
+
+import { randomUUID } from 'node:crypto';
+import PQueue from 'p-queue';
+import type { Clock } from '../common/clock.js';
+import type { Logger } from '../common/logging.js';
+import type { Measures } from '../common/measures.js';
+import type { Dispatch, Finished, Reserve } from '../generated/dispatch.js';
+import { createAnswerStream, type AnswerStream } from './answerStream.js';
+import type { Fairness } from './fairness.js';
+import { createFloor, type Floor } from './floor.js';
+import { createGrantLedger } from './grantLedger.js';
+import { createJob } from './job.js';
+import { chooseVictims, getWaste, isUrgent } from './preemption.js';
+import type { Prefixes } from './prefixes.js';
+import { createReservationQueue, type JobOptions } from './reservationQueue.js';
+import type { Room } from './room.js';
+import { runJob, type RunnerHost } from './runner.js';
+import type { SpeedGauge } from './speed.js';
+import type {
+  AgentFrameBody,
+  FrameSender,
+  Job,
+  RunOutcome,
+  RunStart,
+  Speeds,
+  StopReason,
+} from './types.js';
+
+/** A grant that was not used by then is void; milliseconds. */
+const GRANT_VALID_MS = 1_500;
+/** How long an answer is kept for an entry that lost its connection; milliseconds. */
+const ATTACH_MS = 15_000;
+const SWEEP_MS = 50;
+/** Waiting reservations of all entries; beyond it reservations of the lowest order are refused. */
+const MAX_WAITING = 4_000;
+
+/** What the scheduler needs from outside. */
+export interface SchedulerHost extends RunnerHost {
+  clock: Clock;
+  logger: Logger;
+  measures: Measures;
+  frames: FrameSender;
+  incarnation: string;
+  room: Room;
+  gauge: SpeedGauge;
+  fairness: Fairness;
+  prefixes: Prefixes;
+  speeds: Speeds | undefined;
+  slots: number;
+  hasLease(): boolean;
+  isEndpointReady(): boolean;
+  isSuspect(digest: string): boolean;
+  /** A run failed in a way that may mean that the endpoint crashed; resolves when that is settled. */
+  onRunFailed(job: Job): Promise<void>;
+}
+
+/** The agent's requests. */
+export interface Scheduler {
+  readonly floor: Floor;
+  readonly running: number;
+  readonly waiting: number;
+  reserve(entryKey: string, requestId: string, reserve: Reserve): void;
+  withdraw(requestId: string): void;
+  dispatch(entryKey: string, requestId: string, dispatch: Dispatch): void;
+  /** Voids a grant that has not started and tells which. */
+  reportStatus(entryKey: string, requestId: string, grantId: string): void;
+  cancel(requestId: string): void;
+  credit(requestId: string, bytes: number): void;
+  attach(entryKey: string, requestId: string, offset: number): void;
+  raiseFloor(tierRank: number, validMs: number): number;
+  setDraining(draining: boolean): void;
+  /** The entry's connection is lost: its waiting reservations end. */
+  detachEntry(entryKey: string): void;
+  /** The entry is gone for good: its running requests end, but for calls that may not be repeated. */
+  releaseEntry(entryKey: string): void;
+  /** Stops running requests whose content has become suspect elsewhere. */
+  stopSuspects(): void;
+  /** Looks again for what may be granted. */
+  kick(): void;
+  listRunning(): Job[];
+  /** Resolves when nothing is granted or running any more. */
+  drained(): Promise<void>;
+  stop(): void;
+}
+
+interface Run {
+  job: Job;
+  stream: AnswerStream;
+  abort: AbortController;
+}
+
+/** Creates a scheduler in which nothing waits. */
+export function createScheduler(host: SchedulerHost): Scheduler {
+  const { clock, room, gauge, frames } = host;
+  const jobs = new Map<string, Job>();
+  const runs = new Map<string, Run>();
+  const endings = new Map<Job, () => void>();
+  const floor = createFloor(clock);
+  const grants = createGrantLedger();
+  let isDraining = false;
+  const { queueClass, waiting } = createReservationQueue({
+    clock,
+    room,
+    fairness: host.fairness,
+    gauge,
+    isHeld: () => isDraining || !host.hasLease() || !host.isEndpointReady(),
+  });
+  const queue = new PQueue<InstanceType<typeof queueClass>, JobOptions>({
+    concurrency: host.slots,
+    queueClass,
+  });
+  const timer = setInterval(sweep, SWEEP_MS);
+
+  return {
+    floor,
+    get running() {
+      return room.running;
+    },
+    get waiting() {
+      return waiting.list().length;
+    },
+    reserve,
+    withdraw,
+    dispatch,
+    reportStatus,
+    cancel: (requestId) => stopRun(requestId, 'callerLeft'),
+    credit: (requestId, bytes) => runs.get(requestId)?.stream.credit(bytes),
+    attach,
+    raiseFloor,
+    setDraining,
+    detachEntry,
+    releaseEntry,
+    stopSuspects,
+    kick,
+    listRunning: () => room.list(),
+    drained,
+    stop: () => clearInterval(timer),
+  };
+
+  function reserve(entryKey: string, requestId: string, request: Reserve): void {
+    const refusal = findRefusal(requestId, request);
+    if (refusal !== undefined) {
+      frames.send(entryKey, requestId, { $case: 'refused', value: { reason: refusal } });
+      return;
+    }
+    const job = createJob(entryKey, requestId, request, clock.now());
+    jobs.set(requestId, job);
+    void queue.add(() => grant(job), { job });
+    preemptFor(waiting.tryGetHead());
+  }
+
+  function findRefusal(requestId: string, request: Reserve): string | undefined {
+    if (isDraining) return 'draining';
+    if (jobs.has(requestId)) return 'known';
+    if (floor.isBelow(request.tierRank)) return 'below_floor';
+    if (waiting.list().length >= MAX_WAITING) return 'queue_full';
+    return undefined;
+  }
+
+  /** Issues a grant; resolves when the request has ended or the grant was not used. */
+  function grant(job: Job): Promise<void> {
+    room.take(job);
+    job.state = 'granted';
+    job.grantId = randomUUID();
+    job.grantedAt = clock.now();
+    job.span.grantedUs = host.wallTimeUs();
+    const value = { grantId: job.grantId, incarnation: host.incarnation, validMs: GRANT_VALID_MS };
+    frames.send(job.entryKey, job.requestId, { $case: 'granted', value });
+    return new Promise((resolve) => {
+      endings.set(job, resolve);
+    });
+  }
+
+  function dispatch(entryKey: string, requestId: string, request: Dispatch): void {
+    const job = jobs.get(requestId);
+    const isOwnGrant = job?.grantId === request.grantId && request.incarnation === host.incarnation;
+    if (job === undefined || job.state !== 'granted' || !isOwnGrant) {
+      refuseDispatch(entryKey, requestId, request.grantId);
+      return;
+    }
+    if (!host.hasLease() || !host.isEndpointReady() || floor.isBelow(job.tierRank)) {
+      const outcome: RunOutcome = { kind: 'notRun', reason: 'the agent takes no new work now' };
+      sendFinished(job, outcome, (body) => frames.send(job.entryKey, requestId, body), 0);
+      endJob(job);
+      return;
+    }
+    start(job, { kind: 'dispatch', dispatch: request });
+  }
+
+  /** A void grant is answered; anything else is a duplicate of what has started and is ignored. */
+  function refuseDispatch(entryKey: string, requestId: string, grantId: string): void {
+    if (grants.tryGet(grantId) !== 'voided') return;
+    const job = createJob(entryKey, requestId, undefined, clock.now());
+    const outcome: RunOutcome = { kind: 'notRun', reason: 'the grant is void' };
+    sendFinished(job, outcome, (body) => frames.send(entryKey, requestId, body), 0);
+  }
+
+  function start(job: Job, runStart: RunStart): void {
+    grants.note(job.grantId, 'started');
+    job.state = 'running';
+    job.dispatchedAt = clock.now();
+    job.span.dispatchedUs = host.wallTimeUs();
+    job.cachedTokens = host.prefixes.guessCached(job);
+    host.prefixes.note(job);
+    const offset = runStart.kind === 'resume' ? runStart.offset : 0;
+    const send = (body: AgentFrameBody) => frames.send(job.entryKey, job.requestId, body);
+    const stream = createAnswerStream(send, offset);
+    const run: Run = { job, stream, abort: new AbortController() };
+    runs.set(job.requestId, run);
+    runJob(host, job, runStart, stream, run.abort.signal)
+      .then((outcome) => finish(run, outcome))
+      .catch((caught: Error) => finish(run, { kind: 'cut', reason: caught.message }));
+  }
+
+  async function finish(run: Run, outcome: RunOutcome): Promise<void> {
+    const { job, stream } = run;
+    job.span.endedUs = host.wallTimeUs();
+    if (outcome.kind === 'complete') gauge.noteEnd(job, clock.now());
+    // The caller may send the request again, so a crash is made known before it is told.
+    if (outcome.kind === 'cut' || outcome.kind === 'notRun') await host.onRunFailed(job);
+    sendFinished(job, outcome, (body) => stream.finish(body), stream.length);
+    endJob(job);
+    setTimeout(() => runs.delete(job.requestId), ATTACH_MS).unref();
+  }
+
+  function sendFinished(
+    job: Job,
+    outcome: RunOutcome,
+    send: (body: AgentFrameBody) => void,
+    length: number,
+  ): void {
+    const usage = outcome.kind === 'complete' ? outcome.usage : undefined;
+    const isWasted = outcome.kind === 'stopped' || outcome.kind === 'cut';
+    const value: Finished = {
+      outcome: toFinishedOutcome(outcome),
+      length,
+      promptTokens: usage?.promptTokens ?? 0,
+      cachedTokens: usage?.cachedTokens ?? 0,
+      outputTokens: usage?.outputTokens ?? 0,
+      span: job.span,
+      detail: outcome.kind === 'complete' ? '' : outcome.reason,
+      wastedTokens: isWasted ? Math.round(getWaste(job, host.speeds, clock.now())) : 0,
+    };
+    send({ $case: 'finished', value });
+  }
+
+  function endJob(job: Job): void {
+    if (job.state === 'granted') grants.note(job.grantId, 'voided');
+    job.state = 'ended';
+    jobs.delete(job.requestId);
+    room.free(job);
+    endings.get(job)?.();
+    endings.delete(job);
+  }
+
+  function withdraw(requestId: string): void {
+    const job = jobs.get(requestId);
+    if (job === undefined || job.state === 'running') return;
+    waiting.remove(job);
+    endJob(job);
+  }
+
+  function reportStatus(entryKey: string, requestId: string, grantId: string): void {
+    const isStarted = grants.tryGet(grantId) === 'started';
+    const outcome = isStarted ? 'started' : 'voided';
+    if (!isStarted) {
+      withdraw(requestId);
+      grants.note(grantId, 'voided');
+    }
+    frames.send(entryKey, requestId, { $case: 'statusReport', value: { outcome } });
+  }
+
+  function stopRun(requestId: string, reason: StopReason): void {
+    const run = runs.get(requestId);
+    if (run === undefined) {
+      withdraw(requestId);
+      return;
+    }
+    if (run.job.state !== 'running' || run.job.stopReason !== undefined) return;
+    // A call that may not be repeated runs to its end, so that its outcome is known.
+    if (!run.job.idempotent) return;
+    run.job.stopReason = reason;
+    run.stream.abandon();
+    run.abort.abort();
+  }
+
+  function attach(entryKey: string, requestId: string, offset: number): void {
+    const run = runs.get(requestId);
+    if (run !== undefined) {
+      if (!run.stream.attach(offset)) sendLost(entryKey, requestId);
+      return;
+    }
+    if (!host.isEngine) {
+      sendLost(entryKey, requestId);
+      return;
+    }
+    // Dispatched by an earlier incarnation: the engine still has the stream.
+    const job = createJob(entryKey, requestId, undefined, clock.now());
+    jobs.set(requestId, job);
+    room.take(job);
+    start(job, { kind: 'resume', offset });
+  }
+
+  function sendLost(entryKey: string, requestId: string): void {
+    const job = createJob(entryKey, requestId, undefined, clock.now());
+    const outcome: RunOutcome = { kind: 'cut', reason: 'the answer is no longer kept' };
+    sendFinished(job, outcome, (body) => frames.send(entryKey, requestId, body), 0);
+  }
+
+  function raiseFloor(tierRank: number, validMs: number): number {
+    floor.raise(tierRank, validMs);
+    for (const job of waiting.list()) {
+      if (job.tierRank > tierRank) refuse(job, 'below_floor');
+    }
+    let below = 0;
+    for (const job of room.list()) {
+      if (job.tierRank <= tierRank) continue;
+      if (job.state === 'granted') {
+        refuse(job, 'below_floor');
+        continue;
+      }
+      below += 1;
+      preempt(job);
+    }
+    return below;
+  }
+
+  function refuse(job: Job, reason: string): void {
+    waiting.remove(job);
+    frames.send(job.entryKey, job.requestId, { $case: 'refused', value: { reason } });
+    endJob(job);
+  }
+
+  function preemptFor(head: Job | undefined): void {
+    if (head === undefined || room.fits(head) || !isUrgent(head, gauge, clock.now())) return;
+    for (const victim of chooseVictims(head, room, host.speeds, clock.now())) preempt(victim);
+  }
+
+  function preempt(job: Job): void {
+    if (!job.idempotent || job.stopReason !== undefined) return;
+    const wastedTokens = Math.round(getWaste(job, host.speeds, clock.now()));
+    host.logger.event('requestPreempted', {
+      request: job.requestId,
+      tier: job.tierRank,
+      wastedTokens,
+    });
+    host.measures.count('agentPreemptions', 1, { tier: String(job.tierRank) });
+    stopRun(job.requestId, 'preempted');
+  }
+
+  function detachEntry(entryKey: string): void {
+    for (const job of waiting.list()) {
+      if (job.entryKey === entryKey) withdraw(job.requestId);
+    }
+  }
+
+  function releaseEntry(entryKey: string): void {
+    for (const { job, stream } of runs.values()) {
+      if (job.entryKey !== entryKey) continue;
+      stopRun(job.requestId, 'callerLeft');
+      stream.abandon();
+    }
+  }
+
+  function stopSuspects(): void {
+    for (const job of room.list()) {
+      if (!job.alone && job.state === 'running' && host.isSuspect(job.digest)) {
+        stopRun(job.requestId, 'suspect');
+      }
+    }
+  }
+
+  function setDraining(draining: boolean): void {
+    if (draining === isDraining) return;
+    isDraining = draining;
+    if (!draining) {
+      kick();
+      return;
+    }
+    host.logger.event('drainBegan', { running: room.running });
+    for (const job of waiting.list()) refuse(job, 'draining');
+  }
+
+  function sweep(): void {
+    const now = clock.now();
+    for (const job of jobs.values()) {
+      if (job.state === 'granted' && now - job.grantedAt > GRANT_VALID_MS) refuse(job, 'unused');
+    }
+    gauge.noteRunning(room.list(), now);
+    preemptFor(waiting.tryGetHead());
+    kick();
+  }
+
+  /** Setting the concurrency makes p-queue look for tasks that may start. */
+  function kick(): void {
+    if (waiting.list().length > 0) queue.concurrency = host.slots;
+  }
+
+  async function drained(): Promise<void> {
+    while (room.running > 0) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, SWEEP_MS);
+      });
+    }
+    host.logger.event('drainDone', {});
+  }
+}
+
+function toFinishedOutcome(outcome: RunOutcome): string {
+  switch (outcome.kind) {
+    case 'complete':
+      return 'complete';
+    case 'notRun':
+      return 'not_run';
+    case 'cut':
+      return 'cut';
+    default:
+      return outcome.reason === 'callerLeft' ? 'cancelled' : outcome.reason;
+  }
+}
--- /dev/null
+++ b/src/cli/keeperClient.ts
@@ -0,0 +1,82 @@
+/** Calls to the operators' interface: tries each keeper and follows the leader. */
+
+import { request } from 'undici';
+import { raise, type Failure } from '../common/failure.js';
+
+const MAX_ROUNDS = 40;
+const RETRY_MS = 150;
+const CALL_TIMEOUT_MS = 8_000;
+
+/** How keepers are reached. */
+export interface KeeperTarget {
+  /** host:port of operators' interfaces. */
+  keepers: readonly string[];
+  key: string | undefined;
+}
+
+type CallResult =
+  | { kind: 'answer'; body: unknown }
+  | { kind: 'redirect'; address: string }
+  | { kind: 'retry'; reason: string };
+
+/** Calls the leader; raises the keeper's failure, or `unreachable`. */
+export async function callKeeper<T>(
+  target: KeeperTarget,
+  method: 'GET' | 'POST',
+  path: string,
+  body?: string,
+): Promise<T> {
+  let reason = 'no keeper answered';
+  let address = target.keepers[0] ?? '';
+  for (let round = 0; round < MAX_ROUNDS; round += 1) {
+    const result = await tryCall(target, address, method, path, body);
+    if (result.kind === 'answer') return result.body as T;
+    if (result.kind === 'redirect') {
+      address = result.address;
+      continue;
+    }
+    reason = result.reason;
+    address = target.keepers[(round + 1) % target.keepers.length] ?? '';
+    await delay(RETRY_MS);
+  }
+  return raise({ kind: 'unreachable', address: target.keepers.join(','), reason });
+}
+
+async function tryCall(
+  target: KeeperTarget,
+  address: string,
+  method: 'GET' | 'POST',
+  path: string,
+  body: string | undefined,
+): Promise<CallResult> {
+  const headers: Record<string, string> = {};
+  if (target.key !== undefined) headers.authorization = `Bearer ${target.key}`;
+  try {
+    const response = await request(`http://${address}${path}`, {
+      method,
+      headers,
+      body: body ?? null,
+      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+    });
+    const text = await response.body.text();
+    const { location } = response.headers;
+    if (response.statusCode === 307 && typeof location === 'string') {
+      return { kind: 'redirect', address: new URL(location).host };
+    }
+    if (response.statusCode === 503) return { kind: 'retry', reason: text };
+    const parsed = JSON.parse(text) as { failure?: Failure };
+    if (response.statusCode >= 400) {
+      raise(parsed.failure ?? { kind: 'unexpected', reason: text });
+    }
+    return { kind: 'answer', body: parsed };
+  } catch (caught) {
+    if (caught instanceof Error && 'failure' in caught) throw caught;
+    return { kind: 'retry', reason: (caught as Error).message };
+  }
+}
+
+function delay(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, milliseconds);
+  });
+}
--- /dev/null
+++ b/src/daemon/agentProcess.ts
@@ -0,0 +1,172 @@
+/** The agent role: session, scheduler, connections from entries, endpoint. */
+
+import { agentDefaults } from '../agent/defaults.js';
+import { createConnections } from '../agent/connections.js';
+import { createEndpointClient } from '../agent/endpointClient.js';
+import { createEndpointWatch } from '../agent/endpointWatch.js';
+import { createFairness } from '../agent/fairness.js';
+import { createOrders } from '../agent/orders.js';
+import { createPrefixes } from '../agent/prefixes.js';
+import { createRoom } from '../agent/room.js';
+import { createScheduler, type Scheduler } from '../agent/scheduler.js';
+import { createSpeedGauge } from '../agent/speed.js';
+import type { Speeds } from '../agent/types.js';
+import type { Clock } from '../common/clock.js';
+import { createKeeperSession } from '../common/keeperSession.js';
+import type { Logger } from '../common/logging.js';
+import type { Measures } from '../common/measures.js';
+import {
+  createPeerMetadata,
+  createServer,
+  listen,
+  resolveAddress,
+  shutDown,
+} from '../common/rpc.js';
+import type { AgentProcessSettings } from '../common/settings.js';
+import { AgentService, type LoadReport } from '../generated/dispatch.js';
+import type { AgentSettings } from '../generated/schemas.js';
+import type { Member } from '../generated/keeper.js';
+import type { RunningProcess } from './types.js';
+
+const PERMILLE = 1_000;
+const MICROSECONDS = 1_000;
+
+/** Starts an agent. */
+export async function startAgent(
+  settings: AgentProcessSettings,
+  incarnation: string,
+  clock: Clock,
+  logger: Logger,
+  measures: Measures,
+): Promise<RunningProcess> {
+  const { agent } = settings;
+  const speeds = getSpeeds(agent);
+  const tokenRoom = agent.tokenRoom ?? Number.MAX_SAFE_INTEGER;
+  const gauge = createSpeedGauge(speeds);
+  const room = createRoom(agent.slots, tokenRoom, () => gauge.speed);
+  const client = createEndpointClient(
+    agent.endpoint,
+    agent.slots + agentDefaults.spareConnections,
+    agent.healthPath ?? agentDefaults.healthPath,
+  );
+  let scheduler: Scheduler | undefined;
+  const getScheduler = (): Scheduler => {
+    if (scheduler === undefined) throw new TypeError('the scheduler has not started');
+    return scheduler;
+  };
+  const connections = createConnections({ settings, logger, incarnation, scheduler: getScheduler });
+  const session = createKeeperSession(
+    {
+      clock,
+      logger,
+      deployment: settings.deployment,
+      keepers: settings.keepers,
+      resolve: (address) => resolveAddress(settings, address),
+      metadata: createPeerMetadata(settings),
+      onChange() {
+        orders.follow(session.view.tryGet('pool', agent.pool));
+        scheduler?.stopSuspects();
+      },
+      onLease(hasLease) {
+        if (!hasLease) return;
+        orders.follow(session.view.tryGet('pool', agent.pool));
+        scheduler?.kick();
+      },
+      onDrain: (draining) => scheduler?.setDraining(draining),
+    },
+    createMember(settings, incarnation),
+  );
+  const orders = createOrders({
+    client,
+    hasLease: () => session.hasLease(),
+    getFencingToken: () => session.fencingToken,
+  });
+  const watch = createEndpointWatch({
+    client,
+    logger,
+    listRunning: () => scheduler?.listRunning() ?? [],
+    reportCrash(digests) {
+      const reportedAtMs = clock.wallTime();
+      const report = { endpoint: agent.endpoint, incarnation, digests, reportedAtMs };
+      return session.reportCrash(report, agentDefaults.crashReportTimeoutMs).catch(() => {});
+    },
+    onReady: () => scheduler?.kick(),
+  });
+  scheduler = createScheduler({
+    client,
+    isEngine: agent.kind === 'engine',
+    now: () => clock.now(),
+    wallTimeUs: () => Math.round(clock.wallTime() * MICROSECONDS),
+    clock,
+    logger,
+    measures,
+    frames: connections,
+    incarnation,
+    room,
+    gauge,
+    fairness: createFairness(),
+    prefixes: createPrefixes(tokenRoom),
+    speeds,
+    slots: agent.slots,
+    hasLease: () => session.hasLease(),
+    isEndpointReady: () => watch.isReady,
+    isSuspect: (digest) => session.view.tryGet('suspect', digest) !== undefined,
+    onRunFailed: (job) => watch.noteFailure(job),
+  });
+  const server = createServer();
+  server.addService(AgentService, connections.service);
+  await listen(server, agent.listen);
+  const loadTimer = setInterval(reportLoad, agentDefaults.loadReportMs);
+
+  return {
+    async stop() {
+      getScheduler().setDraining(true);
+      await getScheduler().drained();
+      clearInterval(loadTimer);
+      orders.stop();
+      watch.stop();
+      await session.leave();
+      connections.close();
+      getScheduler().stop();
+      await shutDown(server);
+      await client.close();
+    },
+  };
+
+  function reportLoad(): void {
+    const current = getScheduler();
+    measures.gauge('agentRunning', current.running);
+    measures.gauge('agentSpeed', Math.round(gauge.speed * PERMILLE));
+    const report: LoadReport = {
+      running: current.running,
+      waiting: current.waiting,
+      slots: watch.isReady ? room.usableSlots : 0,
+      freeTokens: Math.min(room.freeTokens, agentDefaults.maxReportedTokens),
+      speedPermille: Math.round(gauge.speed * PERMILLE),
+      draining: session.isDraining,
+    };
+    connections.broadcastLoad(report);
+  }
+}
+
+function getSpeeds(agent: AgentSettings): Speeds | undefined {
+  const { prefillTokensPerSecond: prefill, decodeTokensPerSecond: decode } = agent;
+  if (prefill === undefined || decode === undefined) return undefined;
+  return { prefill, decode };
+}
+
+function createMember(settings: AgentProcessSettings, incarnation: string): Member {
+  const { agent } = settings;
+  return {
+    id: settings.id,
+    incarnation,
+    role: 'agent',
+    address: agent.listen,
+    failureDomain: settings.failureDomain,
+    pool: agent.pool,
+    endpointKind: agent.kind,
+    draining: false,
+    fencingToken: 0,
+    endpoint: agent.endpoint,
+  };
+}
--- /dev/null
+++ b/src/daemon/entryProcess.ts
@@ -0,0 +1,156 @@
+/** The entry role: session, links to agents, dispatcher, callers' interface. */
+
+import { createPolicy } from '../entry/placement.js';
+import { createAgentLinks } from '../entry/agentLinks.js';
+import { startCallerApi } from '../entry/callerApi.js';
+import { createCalls } from '../entry/calls.js';
+import { createDirectory } from '../entry/directory.js';
+import { createDispatcher, type Dispatcher } from '../entry/dispatcher.js';
+import { createFloors } from '../entry/floors.js';
+import { createShedding } from '../entry/shedding.js';
+import type { Clock } from '../common/clock.js';
+import { createKeeperSession } from '../common/keeperSession.js';
+import type { Logger } from '../common/logging.js';
+import type { Measures } from '../common/measures.js';
+import { createPeerMetadata, resolveAddress } from '../common/rpc.js';
+import type { EntryProcessSettings } from '../common/settings.js';
+import { createTracing } from '../common/tracing.js';
+import type { Member } from '../generated/keeper.js';
+import type { RunningProcess } from './types.js';
+
+const REVIEW_MS = 25;
+const DRAIN_POLL_MS = 20;
+const DEFAULT_MAX_WAITING = 2_000;
+const CRASH_REPORT_TIMEOUT_MS = 3_000;
+
+/** Starts an entry. */
+export async function startEntry(
+  settings: EntryProcessSettings,
+  incarnation: string,
+  clock: Clock,
+  logger: Logger,
+  measures: Measures,
+): Promise<RunningProcess> {
+  const metadata = createPeerMetadata(settings);
+  const tracing = await createTracing(settings.tracing, settings.id);
+  let isStopping = false;
+  let dispatcher: Dispatcher | undefined;
+  const links = createAgentLinks({
+    clock,
+    logger,
+    metadata,
+    resolve: (address) => resolveAddress(settings, address),
+    deployment: settings.deployment,
+    entryId: settings.id,
+    incarnation,
+    onOpen: (link) => dispatcher?.handleOpen(link),
+    onLost: (link) => dispatcher?.handleLost(link),
+    onFrame: (link, frame) => dispatcher?.handleFrame(link, frame),
+  });
+  const session = createKeeperSession(
+    {
+      clock,
+      logger,
+      deployment: settings.deployment,
+      keepers: settings.keepers,
+      resolve: (address) => resolveAddress(settings, address),
+      metadata,
+      onChange: followConfig,
+      onLease: () => dispatcher?.review(),
+      onDrain: () => {},
+    },
+    createMember(settings, incarnation),
+  );
+  let directory = createDirectory(session.view);
+  const floors = createFloors({
+    clock,
+    logger,
+    listAgentIds: (pool) => directory.listAgents(pool).map((member) => member.id),
+    send: (agentId, body) => links.send(agentId, '', body),
+  });
+  const running = createDispatcher({
+    clock,
+    logger,
+    links,
+    policy: createPolicy(settings.entry.policy ?? 'grants'),
+    floors,
+    getDirectory: () => directory,
+    hasLease: () => session.hasLease(),
+    getRevision: () => session.view.revision,
+    async reportLost(agentId, digest) {
+      const reportedAtMs = clock.wallTime();
+      const report = { endpoint: agentId, incarnation, digests: [digest], reportedAtMs };
+      await session.reportCrash(report, CRASH_REPORT_TIMEOUT_MS).catch(() => {});
+    },
+  });
+  dispatcher = running;
+  const shedding = createShedding({
+    clock,
+    floors,
+    maxWaiting: settings.entry.maxWaiting ?? DEFAULT_MAX_WAITING,
+    listWaiting: () => running.listWaiting(),
+    countWaiting: () => running.waitingCount,
+    getLowestRank: () => directory.lowestRank,
+    shed: (request, problem) => running.shed(request, problem),
+  });
+  const calls = createCalls({
+    clock,
+    measures,
+    tracing,
+    session,
+    dispatcher: running,
+    entryId: settings.id,
+    incarnation,
+    getDirectory: () => directory,
+  });
+  const api = await startCallerApi({
+    clock,
+    settings: settings.entry,
+    getDirectory: () => directory,
+    isReady: () => session.hasLease() && !isStopping,
+    isStopping: () => isStopping,
+    run: (call) => calls.run(call),
+  });
+  const reviewTimer = setInterval(() => {
+    running.review();
+    shedding.review();
+    measures.gauge('entryWaiting', running.waitingCount);
+  }, REVIEW_MS);
+
+  return { stop };
+
+  function followConfig(): void {
+    directory = createDirectory(session.view);
+    links.follow(directory.listAllAgents());
+    dispatcher?.review();
+  }
+
+  async function stop(): Promise<void> {
+    isStopping = true;
+    await api.close();
+    while (calls.count > 0) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, DRAIN_POLL_MS);
+      });
+    }
+    clearInterval(reviewTimer);
+    await session.leave();
+    links.close();
+    await tracing.close();
+  }
+}
+
+function createMember(settings: EntryProcessSettings, incarnation: string): Member {
+  return {
+    id: settings.id,
+    incarnation,
+    role: 'entry',
+    address: '',
+    failureDomain: settings.failureDomain,
+    pool: '',
+    endpointKind: '',
+    draining: false,
+    fencingToken: 0,
+    endpoint: '',
+  };
+}
--- /dev/null
+++ b/src/daemon/keeperProcess.ts
@@ -0,0 +1,129 @@
+/** The keeper role: store, replica, sessions, operators' interface. */
+
+import { join } from 'node:path';
+import type { Clock } from '../common/clock.js';
+import type { Logger } from '../common/logging.js';
+import type { Measures } from '../common/measures.js';
+import { createPeerMetadata, createServer, listen, resolveAddress } from '../common/rpc.js';
+import { toFailure } from '../common/failure.js';
+import type { KeeperProcessSettings } from '../common/settings.js';
+import { KeeperService, type Replica } from '../generated/keeper.js';
+import {
+  findPlace,
+  formCluster,
+  isEmptyStore,
+  joinCluster,
+  type FormationHost,
+} from '../keeper/formation.js';
+import { startOperatorApi } from '../keeper/operatorApi.js';
+import { createPeers } from '../keeper/peers.js';
+import { repairMembership } from '../keeper/repair.js';
+import { createReplica, type RunningReplica } from '../keeper/replica.js';
+import { createKeeperService } from '../keeper/server.js';
+import { createSessions } from '../keeper/sessions.js';
+import { openStore, setAsideStore, type Store } from '../keeper/store.js';
+import type { RunningProcess } from './types.js';
+
+const REPAIR_MS = 200;
+
+/** Starts a keeper. */
+export async function startKeeper(
+  settings: KeeperProcessSettings,
+  clock: Clock,
+  logger: Logger,
+  measures: Measures,
+  onFatal: (caught: unknown) => void,
+): Promise<RunningProcess> {
+  const folder = join(settings.keeper.dataFolder, 'keeper');
+  let store = await openOrReplaceStore(folder, clock, logger);
+  const self: Replica = {
+    id: settings.id,
+    storeId: store.storeId,
+    address: settings.keeper.listen,
+    operatorAddress: settings.keeper.operatorListen,
+  };
+  const metadata = createPeerMetadata(settings);
+  const peers = createPeers(metadata, (address) => resolveAddress(settings, address));
+  let replica: RunningReplica | undefined;
+  let isStopped = false;
+  const sessions = createSessions({ clock, logger, measures, tryGetReplica: () => replica });
+  const service = createKeeperService({
+    settings,
+    logger,
+    self,
+    sessions,
+    tryGetReplica: () => replica,
+  });
+  const server = createServer();
+  server.addService(KeeperService, service);
+  await listen(server, settings.keeper.listen);
+  const operatorApi = await startOperatorApi({
+    settings,
+    clock,
+    logger,
+    sessions,
+    tryGetReplica: () => replica,
+  });
+  const formation: FormationHost = {
+    peers,
+    logger,
+    metadata,
+    deployment: settings.deployment,
+    self,
+    addresses: settings.keepers,
+    isStopped: () => isStopped,
+  };
+  const isEmpty = isEmptyStore(store);
+  const place = isEmpty ? await findPlace(formation) : undefined;
+  if (place?.kind === 'form') {
+    await formCluster(formation, store, place.voters);
+    await store.close();
+    store = await openStore(folder);
+  }
+  replica = createReplica(
+    {
+      clock,
+      logger,
+      measures,
+      send: (envelope) => peers.send(envelope),
+      onApplied: () => replica?.isServing && sessions.publish(),
+      onRoleChange: (isLeader) => sessions.onRoleChange(isLeader),
+      onFatal,
+    },
+    {
+      deployment: settings.deployment,
+      self,
+      snapshotEntries: settings.keeper.snapshotEntries,
+    },
+    store,
+  );
+  if (isEmpty) joinCluster(formation, replica).catch(onFatal);
+  const started = replica;
+  const repairTimer = setInterval(() => repairMembership(started, clock), REPAIR_MS);
+
+  return {
+    async stop() {
+      isStopped = true;
+      clearInterval(repairTimer);
+      sessions.close();
+      await operatorApi.close();
+      await started.stop();
+      peers.close();
+      server.forceShutdown();
+    },
+  };
+}
+
+async function openOrReplaceStore(folder: string, clock: Clock, logger: Logger): Promise<Store> {
+  try {
+    const store = await openStore(folder);
+    if (store.state.cutBytes > 0) logger.event('logTailCut', { bytes: store.state.cutBytes });
+    return store;
+  } catch (caught) {
+    const failure = toFailure(caught);
+    if (failure.kind !== 'storeCorrupt') throw caught;
+    logger.event('storeCorrupt', { reason: failure.reason });
+    setAsideStore(folder, clock.wallTime());
+    return openStore(folder);
+  }
+}
--- /dev/null
+++ b/src/entry/calls.ts
@@ -0,0 +1,186 @@
+/** Runs checked calls: team limits, suspects, claims, then the dispatcher; counts how they end. */
+
+import type { Clock } from '../common/clock.js';
+import type { KeeperSession } from '../common/keeperSession.js';
+import type { Measures } from '../common/measures.js';
+import type { RequestTrace, Tracing } from '../common/traceContext.js';
+import {
+  createCallerSink,
+  createHoldingSink,
+  sendProblem,
+  sendWholeAnswer,
+  type WholeAnswer,
+} from './answerSinks.js';
+import type { Call } from './callerApi.js';
+import { runClaimed } from './claimedCalls.js';
+import type { Directory } from './directory.js';
+import type { Dispatcher } from './dispatcher.js';
+import { createRefusal, type Problem } from './problem.js';
+import { closeSolo, openSolo } from './soloRuns.js';
+import type { AnswerSink, CallerRequest, PendingRequest, RequestEnd } from './types.js';
+
+/** What calls need from outside. */
+export interface CallsHost {
+  clock: Clock;
+  measures: Measures;
+  tracing: Tracing;
+  session: KeeperSession;
+  dispatcher: Dispatcher;
+  entryId: string;
+  incarnation: string;
+  getDirectory(): Directory;
+}
+
+/** The entry's calls. */
+export interface Calls {
+  readonly count: number;
+  run(call: Call): void;
+}
+
+/** Creates a runner of calls. */
+export function createCalls(host: CallsHost): Calls {
+  const inFlight = new Map<string, number>();
+  let count = 0;
+
+  return {
+    get count() {
+      return count;
+    },
+    run,
+  };
+
+  function run(call: Call): void {
+    const { request, response } = call;
+    const { team } = request;
+    const used = inFlight.get(team.name) ?? 0;
+    if (team.maxInFlight !== undefined && used >= team.maxInFlight) {
+      const detail = `team '${team.name}' has ${used} requests in flight`;
+      sendProblem(response, createRefusal('team_limit', detail), request.id);
+      return;
+    }
+    inFlight.set(team.name, used + 1);
+    count += 1;
+    const trace = host.tracing.begin(request.path, call.traceparent);
+    runChecked(call, trace)
+      .catch((caught: Error) => {
+        const problem: Problem = { kind: 'lost', outcome: 'unknown', detail: caught.message };
+        sendProblem(response, problem, request.id);
+      })
+      .finally(() => {
+        count -= 1;
+        inFlight.set(team.name, (inFlight.get(team.name) ?? 1) - 1);
+      });
+  }
+
+  async function runChecked(call: Call, trace: RequestTrace): Promise<void> {
+    const { request } = call;
+    const suspicion = host.getDirectory().tryGetSuspect(request.digest);
+    if (suspicion === undefined) {
+      await runCall(call, trace, false);
+      return;
+    }
+    const { digest, id, usefulUntil } = request;
+    const permission = await openSolo(host, digest, id, usefulUntil);
+    if (permission === 'convicted' || permission === 'timeout') {
+      const kind = permission === 'convicted' ? 'convicted' : 'timeout';
+      const problem = createRefusal(kind, 'this request was in flight when endpoints crashed');
+      noteEnd(request, trace, { kind: 'failed', problem, end: undefined });
+      sendProblem(call.response, problem, id);
+      return;
+    }
+    const isAlone = permission === 'granted';
+    const end = await runCall(call, trace, isAlone);
+    if (isAlone) await closeSolo(host, digest, id, end);
+  }
+
+  function runCall(call: Call, trace: RequestTrace, alone: boolean): Promise<RequestEnd> {
+    return call.claim === undefined
+      ? runPlain(call, trace, alone)
+      : runWithClaim(call, trace, alone, call.claim);
+  }
+
+  function runPlain(call: Call, trace: RequestTrace, alone: boolean): Promise<RequestEnd> {
+    const { request, response } = call;
+    return new Promise((resolve) => {
+      const sink = createCallerSink(response, request.id, (end) => {
+        noteEnd(request, trace, end);
+        resolve(end);
+      });
+      const pending = createPending(request, sink, trace, alone);
+      response.on('close', () => {
+        if (response.writableFinished) return;
+        host.dispatcher.abandon(pending);
+        // An abandoned request ends without a word to its sink.
+        if (pending.state === 'ended') resolve(createAbandoned());
+      });
+      host.dispatcher.submit(pending);
+    });
+  }
+
+  async function runWithClaim(
+    call: Call,
+    trace: RequestTrace,
+    alone: boolean,
+    claim: { service: string; key: string },
+  ): Promise<RequestEnd> {
+    const { request, response } = call;
+    let lastEnd: RequestEnd = createAbandoned();
+    const runHeld = (held: CallerRequest) =>
+      new Promise<{ answer: WholeAnswer; end: RequestEnd }>((resolve) => {
+        const sink = createHoldingSink((answer, end) => {
+          lastEnd = end;
+          noteEnd(request, trace, end);
+          resolve({ answer, end });
+        });
+        host.dispatcher.submit(createPending(held, sink, trace, alone));
+      });
+    const result = await runClaimed({ ...host, run: runHeld }, request, claim.service, claim.key);
+    if (result.kind === 'problem') {
+      sendProblem(response, result.problem, request.id);
+      return lastEnd;
+    }
+    if (result.isReplay) response.setHeader('idempotent-replay', 'true');
+    sendWholeAnswer(response, result.answer, request.id);
+    return lastEnd;
+  }
+
+  function createPending(
+    request: CallerRequest,
+    sink: AnswerSink,
+    trace: RequestTrace,
+    alone: boolean,
+  ): PendingRequest {
+    return {
+      ...request,
+      state: 'waiting',
+      reservations: new Set(),
+      avoidUntil: new Map(),
+      placedAt: Number.NEGATIVE_INFINITY,
+      grant: undefined,
+      received: 0,
+      lostAt: undefined,
+      alone,
+      traceparent: trace.agentTraceparent,
+      sink,
+    };
+  }
+
+  function noteEnd(request: CallerRequest, trace: RequestTrace, end: RequestEnd): void {
+    const { measures, clock } = host;
+    const tier = request.tier.name;
+    const outcome = end.kind === 'complete' ? 'complete' : end.problem.kind;
+    measures.count('entryRequests', 1, { tier, outcome });
+    const isUseful = end.kind === 'complete' && clock.now() <= request.usefulUntil;
+    if (isUseful) measures.count('entryGoodput', 1, { tier });
+    trace.end(outcome, end.end);
+    if (end.end === undefined) return;
+    measures.count('entryPromptTokens', end.end.promptTokens);
+    measures.count('entryCachedTokens', end.end.cachedTokens);
+    measures.count('entryWastedTokens', end.end.wastedTokens);
+  }
+}
+
+function createAbandoned(): RequestEnd {
+  const problem: Problem = { kind: 'lost', outcome: 'unknown', detail: 'the caller left' };
+  return { kind: 'failed', problem, end: undefined };
+}
--- /dev/null
+++ b/src/entry/dispatcher.ts
@@ -0,0 +1,406 @@
+/**
+ * Takes requests from admission to their end: reservations, the first grant, one dispatch, the
+ * answer. Each request is dispatched against one grant; only a firm "voided" or "not run" from the
+ * agent returns it to waiting.
+ */
+
+import type { Clock } from '../common/clock.js';
+import { assertNever } from '../common/debug.js';
+import type { Logger } from '../common/logging.js';
+import type { AgentFrame, Chunk, Finished, Granted } from '../generated/dispatch.js';
+import type { AgentLink, AgentLinks } from './agentLinks.js';
+import type { Directory } from './directory.js';
+import type { Floors } from './floors.js';
+import type { PlacementPolicy } from './placement.js';
+import type { Outcome, Problem, ProblemKind } from './problem.js';
+import type { AnswerEnd, PendingRequest } from './types.js';
+
+/** How long an entry looks for an agent that went away with a request; milliseconds. */
+const LOST_LIMIT_MS = 8_000;
+/** How long an agent that refused a request is not asked again; milliseconds. */
+const AVOID_MS = 250;
+
+/** What the dispatcher needs from outside. */
+export interface DispatcherHost {
+  clock: Clock;
+  logger: Logger;
+  links: AgentLinks;
+  policy: PlacementPolicy;
+  floors: Floors;
+  getDirectory(): Directory;
+  hasLease(): boolean;
+  getRevision(): number;
+  /** An agent went away for good with requests in flight; resolves when that is known everywhere. */
+  reportLost(agentId: string, digest: string): Promise<void>;
+}
+
+/** The requests of this entry. */
+export interface Dispatcher {
+  readonly waitingCount: number;
+  readonly count: number;
+  submit(request: PendingRequest): void;
+  /** The caller is gone. */
+  abandon(request: PendingRequest): void;
+  /** Ends a waiting request without running it. */
+  shed(request: PendingRequest, problem: Problem): void;
+  listWaiting(): Iterable<PendingRequest>;
+  handleOpen(link: AgentLink): void;
+  handleLost(link: AgentLink): void;
+  handleFrame(link: AgentLink, frame: AgentFrame): void;
+  /** Places what waits and gives up what is lost; to be called often. */
+  review(): void;
+}
+
+/** Creates a dispatcher without requests. */
+export function createDispatcher(host: DispatcherHost): Dispatcher {
+  const { clock, links } = host;
+  const requests = new Map<string, PendingRequest>();
+  const waiting = new Set<PendingRequest>();
+
+  return {
+    get waitingCount() {
+      return waiting.size;
+    },
+    get count() {
+      return requests.size;
+    },
+    submit,
+    abandon,
+    shed,
+    listWaiting: () => waiting,
+    handleOpen,
+    handleLost,
+    handleFrame,
+    review,
+  };
+
+  function submit(request: PendingRequest): void {
+    requests.set(request.id, request);
+    waiting.add(request);
+    place(request);
+  }
+
+  function place(request: PendingRequest): void {
+    if (!host.hasLease()) return;
+    const now = clock.now();
+    const candidates = listCandidates(request, now);
+    const chosen = host.policy.choose(request, candidates, now);
+    if (chosen.length === 0) return;
+    request.placedAt = now;
+    for (const link of chosen) reserve(request, link, now);
+  }
+
+  function listCandidates(request: PendingRequest, now: number): AgentLink[] {
+    const candidates: AgentLink[] = [];
+    for (const member of host.getDirectory().listAgents(request.pool)) {
+      const link = links.tryGet(member.id);
+      if (link === undefined || !link.isOpen || member.draining) continue;
+      if (link.incarnation !== member.incarnation || link.load?.slots === 0) continue;
+      if (request.reservations.has(link.id)) continue;
+      if ((request.avoidUntil.get(link.id) ?? 0) > now) continue;
+      candidates.push(link);
+    }
+    return candidates;
+  }
+
+  function reserve(request: PendingRequest, link: AgentLink, now: number): void {
+    const { team, tier } = request;
+    request.reservations.add(link.id);
+    link.reserved += 1;
+    const value = {
+      tierRank: tier.rank,
+      team: team.name,
+      shedOrder: team.shedOrder ?? 0,
+      weight: team.weight ?? 1,
+      promptTokens: request.promptTokens,
+      outputTokens: request.outputTokens,
+      usefulMs: Math.max(0, Math.round(request.usefulUntil - now)),
+      idempotent: request.idempotent,
+      prefixHash: request.prefixHash,
+      digest: request.digest,
+      revision: host.getRevision(),
+      alone: request.alone,
+    };
+    links.send(link.id, request.id, { $case: 'reserve', value });
+  }
+
+  function handleFrame(link: AgentLink, frame: AgentFrame): void {
+    const { body, requestId } = frame;
+    if (body === undefined) return;
+    if (body.$case === 'floorReport') {
+      const { tierRank, sequence, below } = body.value;
+      host.floors.noteReport(link.id, tierRank, sequence, below);
+      return;
+    }
+    if (body.$case === 'welcome' || body.$case === 'loadReport') return;
+    const request = requests.get(requestId);
+    if (request === undefined) {
+      // The grant came after the request had ended here, so its room is given back.
+      if (body.$case === 'granted') {
+        links.send(link.id, requestId, { $case: 'withdraw', value: {} });
+      }
+      return;
+    }
+    switch (body.$case) {
+      case 'granted':
+        handleGrant(request, link, body.value);
+        break;
+      case 'refused':
+        handleRefusal(request, link);
+        break;
+      case 'started':
+        handleStart(request, link, body.value.status, body.value.headers);
+        break;
+      case 'chunk':
+        handleChunk(request, link, body.value);
+        break;
+      case 'finished':
+        handleFinish(request, link, body.value);
+        break;
+      case 'statusReport':
+        handleStatus(request, link, body.value.outcome);
+        break;
+      default:
+        assertNever(body);
+    }
+  }
+
+  function handleGrant(request: PendingRequest, link: AgentLink, granted: Granted): void {
+    forgetReservation(request, link.id);
+    const isCurrent = granted.incarnation === link.incarnation;
+    if (request.state !== 'waiting' || !isCurrent || !host.hasLease()) {
+      links.send(link.id, request.id, { $case: 'withdraw', value: {} });
+      return;
+    }
+    withdrawAll(request);
+    const { grantId, incarnation } = granted;
+    request.state = 'dispatched';
+    request.grant = { agentId: link.id, grantId, incarnation };
+    request.lostAt = undefined;
+    waiting.delete(request);
+    link.dispatched += 1;
+    const value = {
+      grantId,
+      incarnation,
+      method: request.method,
+      path: request.path,
+      headers: [...request.headers],
+      body: request.body,
+      traceparent: request.traceparent,
+      revision: host.getRevision(),
+    };
+    links.send(link.id, request.id, { $case: 'dispatch', value });
+  }
+
+  function handleRefusal(request: PendingRequest, link: AgentLink): void {
+    forgetReservation(request, link.id);
+    request.avoidUntil.set(link.id, clock.now() + AVOID_MS);
+    // A grant that lapsed before the dispatch arrived: nothing ran.
+    if (request.grant?.agentId === link.id && request.state === 'dispatched') {
+      askStatus(request, link);
+      return;
+    }
+    if (request.state === 'waiting') place(request);
+  }
+
+  function askStatus(request: PendingRequest, link: AgentLink): void {
+    const grantId = request.grant?.grantId ?? '';
+    links.send(link.id, request.id, { $case: 'statusQuery', value: { grantId } });
+  }
+
+  function isFromGrant(request: PendingRequest, link: AgentLink): boolean {
+    return request.grant?.agentId === link.id && request.state !== 'ended';
+  }
+
+  function handleStart(
+    request: PendingRequest,
+    link: AgentLink,
+    status: number,
+    headers: { name: string; value: string }[],
+  ): void {
+    if (!isFromGrant(request, link) || request.state === 'streaming') return;
+    request.state = 'streaming';
+    request.sink.start(status, headers, link.id);
+  }
+
+  function handleChunk(request: PendingRequest, link: AgentLink, chunk: Chunk): void {
+    if (!isFromGrant(request, link)) return;
+    const skipped = request.received - chunk.offset;
+    if (skipped < 0) {
+      reattach(request, link);
+      return;
+    }
+    if (skipped >= chunk.data.length) return;
+    const data = chunk.data.subarray(skipped);
+    request.received += data.length;
+    request.sink.write(data, () => {
+      const credit = { $case: 'credit' as const, value: { bytes: data.length } };
+      if (request.state !== 'ended') links.send(link.id, request.id, credit);
+    });
+  }
+
+  function reattach(request: PendingRequest, link: AgentLink): void {
+    const value = { offset: request.received };
+    links.send(link.id, request.id, { $case: 'attach', value });
+  }
+
+  function handleFinish(request: PendingRequest, link: AgentLink, finished: Finished): void {
+    if (!isFromGrant(request, link)) return;
+    if (finished.outcome === 'not_run') {
+      returnToWaiting(request, link);
+      return;
+    }
+    const end = toAnswerEnd(link.id, finished);
+    if (finished.outcome !== 'complete') {
+      fail(request, toProblem(request, finished), end);
+      return;
+    }
+    if (finished.length === request.received) {
+      finish(request);
+      request.sink.end({ kind: 'complete', end });
+      return;
+    }
+    if (finished.length > request.received) reattach(request, link);
+    else fail(request, createLoss(request, 'cut', 'the answer had a wrong length'), end);
+  }
+
+  function returnToWaiting(request: PendingRequest, link: AgentLink): void {
+    releaseGrant(request);
+    request.state = 'waiting';
+    request.avoidUntil.set(link.id, clock.now() + AVOID_MS);
+    waiting.add(request);
+    place(request);
+  }
+
+  function handleStatus(request: PendingRequest, link: AgentLink, outcome: string): void {
+    if (!isFromGrant(request, link)) return;
+    if (outcome === 'voided' && request.state === 'dispatched') returnToWaiting(request, link);
+    else if (outcome === 'started') reattach(request, link);
+  }
+
+  function handleOpen(link: AgentLink): void {
+    for (const request of requests.values()) {
+      if (request.grant?.agentId === link.id) recover(request, link);
+      else if (request.state === 'waiting') place(request);
+    }
+  }
+
+  /** The agent with this request's grant can be reached again, perhaps as another incarnation. */
+  function recover(request: PendingRequest, link: AgentLink): void {
+    request.lostAt = undefined;
+    const isSame = request.grant?.incarnation === link.incarnation;
+    if (isSame && request.state === 'dispatched') askStatus(request, link);
+    else if (request.state === 'streaming') reattach(request, link);
+    else if (!isSame) void giveUp(request, 'the agent was restarted before the answer began');
+  }
+
+  function handleLost(link: AgentLink): void {
+    const now = clock.now();
+    link.reserved = 0;
+    for (const request of requests.values()) {
+      request.reservations.delete(link.id);
+      if (request.grant?.agentId === link.id) request.lostAt ??= now;
+      else if (request.state === 'waiting') place(request);
+    }
+  }
+
+  function review(): void {
+    const now = clock.now();
+    for (const request of waiting) place(request);
+    for (const request of requests.values()) {
+      if (request.lostAt === undefined || now - request.lostAt < LOST_LIMIT_MS) continue;
+      request.lostAt = undefined;
+      void giveUp(request, 'the agent went away');
+    }
+  }
+
+  async function giveUp(request: PendingRequest, reason: string): Promise<void> {
+    const agentId = request.grant?.agentId ?? '';
+    host.logger.event('outcomeUnknown', { request: request.id, reason });
+    await host.reportLost(agentId, request.digest);
+    if (request.state !== 'ended') fail(request, createLoss(request, 'lost', reason), undefined);
+  }
+
+  function abandon(request: PendingRequest): void {
+    if (request.state === 'waiting') {
+      withdrawAll(request);
+      finish(request);
+      return;
+    }
+    // A call that may not be repeated goes on, so that its outcome becomes known.
+    if (request.state === 'ended' || !request.idempotent) return;
+    const agentId = request.grant?.agentId ?? '';
+    links.send(agentId, request.id, { $case: 'cancel', value: { reason: 'caller_left' } });
+    finish(request);
+  }
+
+  function shed(request: PendingRequest, problem: Problem): void {
+    if (request.state !== 'waiting') return;
+    withdrawAll(request);
+    const { id, tier, team } = request;
+    host.logger.event('requestShed', {
+      request: id,
+      tier: tier.name,
+      team: team.name,
+      reason: problem.kind,
+    });
+    fail(request, problem, undefined);
+  }
+
+  function withdrawAll(request: PendingRequest): void {
+    for (const agentId of request.reservations) {
+      forgetReservation(request, agentId);
+      links.send(agentId, request.id, { $case: 'withdraw', value: {} });
+    }
+  }
+
+  function forgetReservation(request: PendingRequest, agentId: string): void {
+    const link = links.tryGet(agentId);
+    if (request.reservations.delete(agentId) && link !== undefined) link.reserved -= 1;
+  }
+
+  function releaseGrant(request: PendingRequest): void {
+    const link = links.tryGet(request.grant?.agentId ?? '');
+    if (link !== undefined) link.dispatched -= 1;
+    request.grant = undefined;
+  }
+
+  function finish(request: PendingRequest): void {
+    releaseGrant(request);
+    request.state = 'ended';
+    waiting.delete(request);
+    requests.delete(request.id);
+  }
+
+  function fail(request: PendingRequest, problem: Problem, end: AnswerEnd | undefined): void {
+    finish(request);
+    request.sink.end({ kind: 'failed', problem, end });
+  }
+}
+
+function toProblem(request: PendingRequest, finished: Finished): Problem {
+  if (finished.outcome === 'preempted') {
+    return { kind: 'preempted', outcome: 'ran', detail: 'a higher tier needed the room' };
+  }
+  return createLoss(request, 'cut', finished.detail);
+}
+
+/** What ran in part did run; without any answer it cannot be known. */
+function createLoss(request: PendingRequest, kind: ProblemKind, detail: string): Problem {
+  const outcome: Outcome = request.state === 'streaming' ? 'ran' : 'unknown';
+  return { kind, outcome, detail };
+}
+
+function toAnswerEnd(agentId: string, finished: Finished): AnswerEnd {
+  const { promptTokens, cachedTokens, outputTokens, wastedTokens, span } = finished;
+  return {
+    agentId,
+    promptTokens,
+    cachedTokens,
+    outputTokens,
+    wastedTokens,
+    grantedUs: span?.grantedUs ?? 0,
+    firstByteUs: span?.firstByteUs ?? 0,
+    endedUs: span?.endedUs ?? 0,
+  };
+}
--- /dev/null
+++ b/src/entry/modelRequest.ts
@@ -0,0 +1,76 @@
+/** Checks and measures requests to models, in the usual JSON shapes. */
+
+import { createHash } from 'node:crypto';
+import { createRefusal, type Problem } from './problem.js';
+
+const CHARACTERS_PER_TOKEN = 4;
+const DEFAULT_OUTPUT_TOKENS = 256;
+/** Length of the prompt's head that decides where a cached prefix is likely; characters. */
+const PREFIX_CHARACTERS = 2_048;
+const MAX_OUTPUT_TOKENS = 1_000_000;
+
+/** What the scheduler needs to know of a request to a model. */
+export interface ModelRequest {
+  model: string;
+  promptTokens: number;
+  outputTokens: number;
+  prefixHash: string;
+}
+
+export type ParsedModelRequest =
+  { kind: 'parsed'; request: ModelRequest } | { kind: 'refused'; problem: Problem };
+
+/** Parses the body of `/v1/chat/completions` or `/v1/completions`. */
+export function parseModelRequest(body: Buffer): ParsedModelRequest {
+  const fields = tryParseObject(body);
+  if (fields === undefined) return refuse('the body is not a JSON object');
+  const { model } = fields;
+  if (typeof model !== 'string' || model === '') return refuse("'model' must be a string");
+  const prompt = tryGetPrompt(fields);
+  if (prompt === undefined) return refuse("'messages' or 'prompt' is missing or malformed");
+  const limit = fields.max_completion_tokens ?? fields.max_tokens ?? DEFAULT_OUTPUT_TOKENS;
+  if (!isTokenLimit(limit)) return refuse("'max_tokens' must be a positive integer");
+  const promptTokens = Math.ceil(prompt.length / CHARACTERS_PER_TOKEN);
+  const prefixHash = hashPrefix(model, prompt);
+  return {
+    kind: 'parsed',
+    request: { model, promptTokens, outputTokens: limit, prefixHash },
+  };
+}
+
+function tryParseObject(body: Buffer): Record<string, unknown> | undefined {
+  try {
+    const value: unknown = JSON.parse(body.toString('utf8'));
+    const isObject = typeof value === 'object' && value !== null && !Array.isArray(value);
+    return isObject ? (value as Record<string, unknown>) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function tryGetPrompt(fields: Record<string, unknown>): string | undefined {
+  const { messages, prompt } = fields;
+  if (typeof prompt === 'string') return prompt;
+  if (!Array.isArray(messages) || messages.length === 0) return undefined;
+  const parts: string[] = [];
+  for (const message of messages as unknown[]) {
+    if (typeof message !== 'object' || message === null) return undefined;
+    const { role, content } = message as { role?: unknown; content?: unknown };
+    if (typeof role !== 'string') return undefined;
+    parts.push(typeof content === 'string' ? content : JSON.stringify(content ?? ''));
+  }
+  return parts.join('\n');
+}
+
+function isTokenLimit(value: unknown): value is number {
+  return Number.isInteger(value) && Number(value) > 0 && Number(value) <= MAX_OUTPUT_TOKENS;
+}
+
+function hashPrefix(model: string, prompt: string): string {
+  const head = prompt.slice(0, PREFIX_CHARACTERS);
+  return createHash('sha256').update(`${model}\n${head}`).digest('base64url').slice(0, 16);
+}
+
+function refuse(detail: string): ParsedModelRequest {
+  return { kind: 'refused', problem: createRefusal('bad_request', detail) };
+}
--- /dev/null
+++ b/src/entry/placement.ts
@@ -0,0 +1,131 @@
+/** Choice of the agents that get a request's next reservations. */
+
+import { createHash } from 'node:crypto';
+import type { AgentLink } from './agentLinks.js';
+import type { PendingRequest } from './types.js';
+
+/** Prompts shorter than this gain little from a cached prefix; tokens. */
+const AFFINITY_TOKENS = 128;
+/** The preferred agent is passed over when its load exceeds the mean by this factor. */
+const LOAD_BOUND = 1.5;
+const BROADEN_MS = 60;
+/** Reservations wait for the preferred agent at most for this share of the prompt's prefill time. */
+const AFFINITY_PATIENCE = 0.5;
+const FIRST_RESERVATIONS = 2;
+const MAX_RESERVATIONS = 12;
+
+export type PolicyName = 'grants' | 'roundRobin' | 'leastLoad' | 'firstCome';
+
+/** A way to choose agents. */
+export interface PlacementPolicy {
+  /** Agents to reserve with now, out of `candidates`, which hold no reservation yet. */
+  choose(request: PendingRequest, candidates: readonly AgentLink[], now: number): AgentLink[];
+}
+
+/** Creates the policy of the name. */
+export function createPolicy(name: PolicyName): PlacementPolicy {
+  switch (name) {
+    case 'roundRobin':
+      return new RoundRobin();
+    case 'leastLoad':
+      return new LeastLoad();
+    case 'firstCome':
+      return new FirstCome();
+    default:
+      return new LateBinding();
+  }
+}
+
+/** A few reservations at first, more as time passes; long prompts prefer a warm cache. */
+class LateBinding implements PlacementPolicy {
+  public choose(
+    request: PendingRequest,
+    candidates: readonly AgentLink[],
+    now: number,
+  ): AgentLink[] {
+    const held = request.reservations.size;
+    if (held >= MAX_RESERVATIONS) return [];
+    if (held === 0) {
+      const preferred = this.tryGetPreferred(request, candidates);
+      return preferred === undefined ? chooseLightest(candidates, FIRST_RESERVATIONS) : [preferred];
+    }
+    if (now - request.placedAt < this.getPatience(request, candidates)) return [];
+    return chooseLightest(candidates, held);
+  }
+
+  private tryGetPreferred(
+    request: PendingRequest,
+    candidates: readonly AgentLink[],
+  ): AgentLink | undefined {
+    if (request.promptTokens < AFFINITY_TOKENS || request.prefixHash === '') return undefined;
+    const ordered = candidates.toSorted(
+      (left, right) =>
+        getAffinity(request.prefixHash, right.id) - getAffinity(request.prefixHash, left.id),
+    );
+    const loads = candidates.map(getLoad);
+    const mean = loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length);
+    return ordered.find((link) => getLoad(link) <= LOAD_BOUND * mean + 1);
+  }
+
+  private getPatience(request: PendingRequest, candidates: readonly AgentLink[]): number {
+    const speed = Math.max(0, ...candidates.map((link) => link.prefillSpeed));
+    if (speed === 0 || request.promptTokens < AFFINITY_TOKENS) return BROADEN_MS;
+    const prefillMs = (1000 * request.promptTokens) / speed;
+    return Math.max(BROADEN_MS, AFFINITY_PATIENCE * prefillMs);
+  }
+}
+
+/** Baseline: each agent in turn. */
+class RoundRobin implements PlacementPolicy {
+  private next = 0;
+
+  public choose(request: PendingRequest, candidates: readonly AgentLink[]): AgentLink[] {
+    if (request.reservations.size > 0) return [];
+    const ordered = candidates.toSorted((left, right) => left.id.localeCompare(right.id));
+    this.next += 1;
+    const link = ordered[this.next % Math.max(1, ordered.length)];
+    return link === undefined ? [] : [link];
+  }
+}
+
+/** Baseline: the agent that reported the least load. */
+class LeastLoad implements PlacementPolicy {
+  public choose(request: PendingRequest, candidates: readonly AgentLink[]): AgentLink[] {
+    if (request.reservations.size > 0) return [];
+    let least: AgentLink | undefined;
+    for (const link of candidates) {
+      if (least === undefined || getReportedLoad(link) < getReportedLoad(least)) least = link;
+    }
+    return least === undefined ? [] : [least];
+  }
+}
+
+/** Baseline: whoever has room first, in the order of arrival. */
+class FirstCome implements PlacementPolicy {
+  public choose(request: PendingRequest, candidates: readonly AgentLink[]): AgentLink[] {
+    return request.reservations.size > 0 ? [] : [...candidates];
+  }
+}
+
+function chooseLightest(candidates: readonly AgentLink[], count: number): AgentLink[] {
+  // Equal loads are common, so ties are broken at random rather than by position.
+  const weighed = candidates.map((link) => ({ link, load: getLoad(link), tie: Math.random() }));
+  weighed.sort((left, right) => left.load - right.load || left.tie - right.tie);
+  return weighed.slice(0, count).map(({ link }) => link);
+}
+
+/** Requests at the agent for each of its slots: those reported, or this entry's own if more. */
+function getLoad(link: AgentLink): number {
+  const reported = (link.load?.running ?? 0) + (link.load?.waiting ?? 0);
+  const own = link.reserved + link.dispatched;
+  return Math.max(reported, own) / Math.max(1, link.load?.slots ?? 1);
+}
+
+function getReportedLoad(link: AgentLink): number {
+  return (link.load?.running ?? 0) + (link.load?.waiting ?? 0);
+}
+
+/** Rendezvous weight of an agent for a prefix. */
+function getAffinity(prefixHash: string, agentId: string): number {
+  return createHash('sha256').update(`${prefixHash} ${agentId}`).digest().readUInt32BE(0);
+}
--- /dev/null
+++ b/src/keeper/election.ts
@@ -0,0 +1,105 @@
+/** Elections: a pre-vote that changes no term, then the vote. */
+
+import type { PeerMessage, Replica, VoteRequest, VoteResponse } from '../generated/keeper.js';
+import { ELECTION_TIMEOUT_MS, type RaftCore } from './raftCore.js';
+
+/** The part that asks for votes and gives them. */
+export interface Election {
+  start(): void;
+  handleVoteRequest(from: Replica, term: number, request: VoteRequest): void;
+  handleVoteResponse(from: Replica, term: number, response: VoteResponse): void;
+}
+
+/** Creates the part; `onElected` makes this replica the leader. */
+export function createElection(core: RaftCore, onElected: () => void): Election {
+  const votes = new Set<string>();
+
+  return { start, handleVoteRequest, handleVoteResponse };
+
+  function start(): void {
+    beginRound('preCandidate');
+    core.leader = undefined;
+    if (hasMajority()) startVote();
+    else requestVotes(core.term + 1, true);
+  }
+
+  function startVote(): void {
+    beginRound('candidate');
+    core.term += 1;
+    core.votedFor = core.self.storeId;
+    core.hardStateChanged = true;
+    if (hasMajority()) onElected();
+    else requestVotes(core.term, false);
+  }
+
+  function beginRound(role: 'preCandidate' | 'candidate'): void {
+    core.role = role;
+    votes.clear();
+    votes.add(core.self.storeId);
+    core.resetElectionTimer();
+  }
+
+  function requestVotes(term: number, preVote: boolean): void {
+    const { lastIndex, lastTerm, membership } = core.log;
+    const body: PeerMessage['body'] = {
+      $case: 'voteRequest',
+      value: { preVote, lastIndex, lastTerm },
+    };
+    for (const voter of membership.voters) {
+      if (voter.storeId !== core.self.storeId) core.send(voter, term, body);
+    }
+  }
+
+  function handleVoteRequest(from: Replica, term: number, request: VoteRequest): void {
+    if (isBoundToOther(from)) {
+      answer(from, core.term, request.preVote, false);
+      return;
+    }
+    if (!request.preVote && term > core.term) core.becomeFollower(term, undefined);
+    const isNewer = request.preVote ? term > core.term : term === core.term;
+    const isFree = request.preVote || core.votedFor === '' || core.votedFor === from.storeId;
+    const granted = isNewer && isFree && isUpToDate(request);
+    if (granted && !request.preVote) {
+      core.votedFor = from.storeId;
+      core.hardStateChanged = true;
+      core.resetElectionTimer();
+    }
+    answer(from, granted ? term : core.term, request.preVote, granted);
+  }
+
+  /** A replica that heard a leader lately gives no vote, which the leader's lease relies on. */
+  function isBoundToOther(from: Replica): boolean {
+    const isRecent = core.clock - core.leaderContactAt < ELECTION_TIMEOUT_MS;
+    return (core.role === 'leader' || isRecent) && core.leader?.storeId !== from.storeId;
+  }
+
+  function isUpToDate(request: VoteRequest): boolean {
+    const { lastIndex, lastTerm } = core.log;
+    if (request.lastTerm !== lastTerm) return request.lastTerm > lastTerm;
+    return request.lastIndex >= lastIndex;
+  }
+
+  function answer(to: Replica, term: number, preVote: boolean, granted: boolean): void {
+    core.send(to, term, { $case: 'voteResponse', value: { preVote, granted } });
+  }
+
+  function handleVoteResponse(from: Replica, term: number, response: VoteResponse): void {
+    if (!response.granted) {
+      if (term > core.term) core.becomeFollower(term, undefined);
+      return;
+    }
+    const expectedRole = response.preVote ? 'preCandidate' : 'candidate';
+    const expectedTerm = response.preVote ? core.term + 1 : core.term;
+    if (core.role !== expectedRole || term !== expectedTerm) return;
+    votes.add(from.storeId);
+    if (!hasMajority()) return;
+    if (response.preVote) startVote();
+    else onElected();
+  }
+
+  function hasMajority(): boolean {
+    const { voters } = core.log.membership;
+    const granted = voters.filter((voter) => votes.has(voter.storeId)).length;
+    return granted > voters.length / 2;
+  }
+}
--- /dev/null
+++ b/src/keeper/formation.ts
@@ -0,0 +1,123 @@
+/**
+ * How a keeper with an empty store finds its place: it forms a new cluster only when each other
+ * configured keeper answers that its store is empty, too; otherwise it joins as a learner.
+ */
+
+import type { Metadata } from '@grpc/grpc-js';
+import type { Logger } from '../common/logging.js';
+import { deadlineIn } from '../common/rpc.js';
+import type {
+  JoinRequest,
+  JoinResponse,
+  Membership,
+  ProbeResponse,
+  Replica,
+} from '../generated/keeper.js';
+import type { Peers } from './peers.js';
+import type { RunningReplica } from './replica.js';
+import type { Store } from './store.js';
+
+const PROBE_INTERVAL_MS = 200;
+const PROBE_TIMEOUT_MS = 1_000;
+
+/** What formation needs from outside. */
+export interface FormationHost {
+  peers: Peers;
+  logger: Logger;
+  metadata: Metadata;
+  deployment: string;
+  self: Replica;
+  /** Addresses of all configured keepers; the first one forms the cluster. */
+  addresses: readonly string[];
+  isStopped(): boolean;
+}
+
+/** Whether nothing was ever written to the store. */
+export function isEmptyStore(store: Store): boolean {
+  const { hardState, entries, header } = store.state.initial;
+  return hardState.term === 0 && entries.length === 0 && header.index === 0;
+}
+
+/** What a keeper with an empty store does next. */
+export type Place = { kind: 'form'; voters: Replica[] } | { kind: 'join' };
+
+/** Resolves when this keeper may form a cluster or has to join one. */
+export async function findPlace(host: FormationHost): Promise<Place> {
+  const others = host.addresses.filter((address) => address !== host.self.address);
+  if (host.addresses[0] !== host.self.address) return { kind: 'join' };
+  while (!host.isStopped()) {
+    const answers = await Promise.all(others.map((address) => tryProbe(host, address)));
+    if (answers.some((answer) => answer?.initialized)) return { kind: 'join' };
+    const replicas = answers.flatMap((answer) => answer?.replica ?? []);
+    if (replicas.length === others.length) {
+      return { kind: 'form', voters: [host.self, ...replicas] };
+    }
+    await delay(PROBE_INTERVAL_MS);
+  }
+  return { kind: 'join' };
+}
+
+/** Writes the first entry of a new cluster. */
+export async function formCluster(
+  host: FormationHost,
+  store: Store,
+  voters: Replica[],
+): Promise<void> {
+  const payload = { $case: 'membership' as const, value: { voters, learners: [] } };
+  await store.write({ term: 1, votedFor: '' }, [{ index: 1, term: 1, payload }]);
+  host.logger.event('clusterFormed', { voters: voters.map((voter) => voter.id).join(',') });
+}
+
+/** Asks the leader to take this keeper in until its log has arrived. */
+export async function joinCluster(host: FormationHost, replica: RunningReplica): Promise<void> {
+  let hasReported = false;
+  while (!host.isStopped() && replica.raft.log.lastIndex === 0) {
+    const answers = await Promise.all(
+      host.addresses
+        .filter((address) => address !== host.self.address)
+        .map((address) => tryProbe(host, address)),
+    );
+    const initialized = answers.find(
+      (answer) => answer?.initialized && answer.leaderAddress !== '',
+    );
+    if (initialized !== undefined && !isMember(initialized.membership, host.self)) {
+      if (!hasReported) host.logger.event('keeperRejoins', {});
+      hasReported = true;
+      await tryJoin(host, initialized.leaderAddress);
+    }
+    await delay(PROBE_INTERVAL_MS);
+  }
+}
+
+function isMember(membership: Membership | undefined, self: Replica): boolean {
+  const replicas = [...(membership?.voters ?? []), ...(membership?.learners ?? [])];
+  return replicas.some((replica) => replica.storeId === self.storeId);
+}
+
+function tryProbe(host: FormationHost, address: string): Promise<ProbeResponse | undefined> {
+  const request = { deployment: host.deployment, from: host.self };
+  return new Promise((resolve) => {
+    host.peers
+      .getClient(address)
+      .probe(request, host.metadata, deadlineIn(PROBE_TIMEOUT_MS), (error, response) => {
+        resolve(error === null ? response : undefined);
+      });
+  });
+}
+
+function tryJoin(host: FormationHost, address: string): Promise<JoinResponse | undefined> {
+  const request: JoinRequest = { deployment: host.deployment, replica: host.self };
+  return new Promise((resolve) => {
+    host.peers
+      .getClient(address)
+      .join(request, host.metadata, deadlineIn(PROBE_TIMEOUT_MS), (error, response) => {
+        resolve(error === null ? response : undefined);
+      });
+  });
+}
+
+function delay(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, milliseconds);
+  });
+}
--- /dev/null
+++ b/src/keeper/server.ts
@@ -0,0 +1,183 @@
+/** The keeper's gRPC service: checks who calls, then hands over to the part that is responsible. */
+
+import {
+  status,
+  type Metadata,
+  type sendUnaryData,
+  type ServerUnaryCall,
+  type ServiceError,
+} from '@grpc/grpc-js';
+import type { Logger } from '../common/logging.js';
+import { RaisedFailure, toFailure } from '../common/failure.js';
+import { createRefusal, tryGetRefusal } from '../common/rpc.js';
+import type { KeeperProcessSettings } from '../common/settings.js';
+import type {
+  ClaimRequest,
+  ClaimResponse,
+  CloseRequest,
+  Command,
+  CloseResponse,
+  CrashRequest,
+  CrashResponse,
+  KeeperServer,
+  ProbeResponse,
+  Replica,
+  SoloRequest,
+  SoloResponse,
+} from '../generated/keeper.js';
+import { admitLearner } from './repair.js';
+import type { RunningReplica } from './replica.js';
+import type { Sessions } from './sessions.js';
+import type { ApplyResult, ClaimOutcome } from './types.js';
+
+const CRASH_IN_FORCE_MS = 3_000;
+
+/** What the service needs from outside. */
+export interface KeeperServiceHost {
+  settings: KeeperProcessSettings;
+  logger: Logger;
+  self: Replica;
+  sessions: Sessions;
+  /** Undefined until the store's place in a cluster is known. */
+  tryGetReplica(): RunningReplica | undefined;
+}
+
+/** Creates the handlers of the gRPC service. */
+export function createKeeperService(host: KeeperServiceHost): KeeperServer {
+  const refusedPeers = new Set<string>();
+
+  return {
+    peer(stream) {
+      if (refuses(stream.metadata, stream.getPeer())) {
+        stream.destroy(createRefusal('peer refused') as ServiceError);
+        return;
+      }
+      stream.on('data', (message) => host.tryGetReplica()?.receive(message));
+      stream.on('error', () => {});
+      stream.on('end', () => stream.end());
+    },
+    probe(call, callback) {
+      answer(call, callback, () => Promise.resolve(describeSelf()));
+    },
+    join(call, callback) {
+      answer(call, callback, async () => {
+        const replica = getReplica();
+        const joining = call.request.replica;
+        const outcome = joining === undefined ? 'busy' : admitLearner(replica, joining);
+        return { outcome };
+      });
+    },
+    session(stream) {
+      if (refuses(stream.metadata, stream.getPeer())) {
+        stream.destroy(createRefusal('peer refused') as ServiceError);
+        return;
+      }
+      if (host.tryGetReplica() === undefined) {
+        stream.end();
+        return;
+      }
+      host.sessions.serve(stream);
+    },
+    openClaim: (call, callback) => answer(call, callback, () => openClaim(call.request)),
+    closeClaim: (call, callback) => answer(call, callback, () => closeClaim(call.request)),
+    reportCrash: (call, callback) => answer(call, callback, () => reportCrash(call.request)),
+    changeSolo: (call, callback) => answer(call, callback, () => changeSolo(call.request)),
+  };
+
+  /** Whether a peer is refused; logged once for each peer and reason. */
+  function refuses(metadata: Metadata, peer: string): boolean {
+    const reason = tryGetRefusal(metadata, host.settings);
+    if (reason === undefined) return false;
+    const key = `${peer.slice(0, peer.lastIndexOf(':'))} ${reason}`;
+    if (!refusedPeers.has(key)) host.logger.event('peerRefused', { peer, reason });
+    refusedPeers.add(key);
+    return true;
+  }
+
+  function answer<Request, Response>(
+    call: ServerUnaryCall<Request, Response>,
+    callback: sendUnaryData<Response>,
+    run: () => Promise<Response>,
+  ): void {
+    if (refuses(call.metadata, call.getPeer())) {
+      callback(createRefusal('peer refused'));
+      return;
+    }
+    run()
+      .then((response) => callback(null, response))
+      .catch((caught) => callback(toServiceError(caught)));
+  }
+
+  function getReplica(): RunningReplica {
+    const replica = host.tryGetReplica();
+    if (replica === undefined) throw createNotReady();
+    return replica;
+  }
+
+  function describeSelf(): ProbeResponse {
+    const raft = host.tryGetReplica()?.raft;
+    return {
+      replica: host.self,
+      initialized: (raft?.log.lastIndex ?? 0) > 0,
+      membership: raft?.log.membership,
+      leaderAddress: raft?.leader?.address ?? '',
+    };
+  }
+
+  async function propose(change: Command['change']): Promise<ApplyResult> {
+    return getReplica().propose({ change });
+  }
+
+  async function openClaim(request: ClaimRequest): Promise<ClaimResponse> {
+    if (request.open === undefined) throw createInvalid();
+    const result = await propose({ $case: 'claimOpen', value: request.open });
+    return toClaimResponse(result.kind === 'claim' ? result.outcome : { kind: 'unknown' });
+  }
+
+  async function closeClaim(request: CloseRequest): Promise<CloseResponse> {
+    if (request.close === undefined) throw createInvalid();
+    await propose({ $case: 'claimClose', value: request.close });
+    return { stored: true };
+  }
+
+  async function reportCrash(request: CrashRequest): Promise<CrashResponse> {
+    if (request.report === undefined) throw createInvalid();
+    await propose({ $case: 'crashReport', value: request.report });
+    // A caller may send the request again as soon as it is told, so every entry has to know first.
+    const { revision } = getReplica().state.things;
+    await host.sessions.waitInForce(revision, CRASH_IN_FORCE_MS);
+    return { stored: true };
+  }
+
+  async function changeSolo(request: SoloRequest): Promise<SoloResponse> {
+    const { action } = request;
+    if (action === undefined) throw createInvalid();
+    const result =
+      action.$case === 'open'
+        ? await propose({ $case: 'soloOpen', value: action.value })
+        : await propose({ $case: 'soloClose', value: action.value });
+    return { outcome: result.kind === 'solo' ? result.outcome : 'busy' };
+  }
+}
+
+function toClaimResponse(outcome: ClaimOutcome): ClaimResponse {
+  const answer = outcome.kind === 'finished' ? outcome.answer : undefined;
+  return { outcome: outcome.kind, answer };
+}
+
+function createNotReady(): Error {
+  return new RaisedFailure({ kind: 'unavailable', reason: 'no cluster yet' });
+}
+
+function createInvalid(): Error {
+  return new RaisedFailure({ kind: 'usage', message: 'incomplete message' });
+}
+
+function toServiceError(caught: unknown): Partial<ServiceError> {
+  const failure = toFailure(caught);
+  if (failure.kind === 'notLeader') {
+    return { code: status.FAILED_PRECONDITION, details: 'not leader' };
+  }
+  if (failure.kind === 'usage') return { code: status.INVALID_ARGUMENT, details: failure.message };
+  return { code: status.UNAVAILABLE, details: failure.kind };
+}
--- /dev/null
+++ b/src/keeper/store.ts
@@ -0,0 +1,204 @@
+/**
+ * Durable state of a keeper under its data folder: `identity`, `log` and `snapshot`.
+ * A log record is a 4-byte length, a 4-byte CRC-32 of the payload and the payload, big-endian.
+ */
+
+import { randomUUID } from 'node:crypto';
+import { existsSync, mkdirSync, readFileSync, renameSync } from 'node:fs';
+import { open, rename, type FileHandle } from 'node:fs/promises';
+import { join } from 'node:path';
+import { crc32 } from 'node:zlib';
+import { raise } from '../common/failure.js';
+import { LogRecord, SnapshotFile, type HardState, type LogEntry } from '../generated/keeper.js';
+import type { RaftInitial } from './raftCore.js';
+import { emptyHeader } from './raftLog.js';
+
+const RECORD_HEADER_BYTES = 8;
+
+/** What a store held when it was opened. */
+export interface StoredState {
+  initial: RaftInitial;
+  snapshot: SnapshotFile | undefined;
+  /** Bytes of an incomplete record that were cut off at the end of the log. */
+  cutBytes: number;
+}
+
+/** The data folder of one keeper. */
+export interface Store {
+  /** Changes when the data folder is lost. */
+  readonly storeId: string;
+  readonly state: StoredState;
+  /** Appends records; resolves when they are synced. */
+  write(hardState: HardState | undefined, entries: readonly LogEntry[]): Promise<void>;
+  /** Replaces the snapshot, then the log by the entries given. */
+  saveSnapshot(
+    snapshot: SnapshotFile,
+    hardState: HardState,
+    entries: readonly LogEntry[],
+  ): Promise<number>;
+  close(): Promise<void>;
+}
+
+/** Opens or creates the store in `folder`; raises `storeCorrupt`. */
+export async function openStore(folder: string): Promise<Store> {
+  mkdirSync(folder, { recursive: true });
+  const storeId = await readStoreId(folder);
+  const logPath = join(folder, 'log');
+  const snapshotPath = join(folder, 'snapshot');
+  const snapshot = readSnapshot(snapshotPath);
+  const recovered = recoverLog(logPath, snapshot);
+  let log = await open(logPath, 'a');
+  await log.truncate(recovered.validBytes);
+  await log.datasync();
+  await syncFolder(folder);
+
+  return {
+    storeId,
+    state: { initial: recovered.initial, snapshot, cutBytes: recovered.cutBytes },
+    write,
+    saveSnapshot,
+    close: () => log.close(),
+  };
+
+  async function write(
+    hardState: HardState | undefined,
+    entries: readonly LogEntry[],
+  ): Promise<void> {
+    const bytes = encodeRecords(hardState, entries);
+    if (bytes.length === 0) return;
+    await writeAll(log, bytes);
+    await log.datasync();
+  }
+
+  async function saveSnapshot(
+    next: SnapshotFile,
+    hardState: HardState,
+    entries: readonly LogEntry[],
+  ): Promise<number> {
+    const payload = Buffer.from(SnapshotFile.encode(next).finish());
+    await replaceFile(snapshotPath, encodeRecord(payload));
+    await replaceFile(logPath, encodeRecords(hardState, entries));
+    await syncFolder(folder);
+    await log.close();
+    log = await open(logPath, 'a');
+    return payload.length;
+  }
+}
+
+/** Moves a corrupt data folder aside, so that the keeper can return as a new member. */
+export function setAsideStore(folder: string, wallTime: number): void {
+  renameSync(folder, `${folder}.corrupt-${wallTime}`);
+}
+
+async function readStoreId(folder: string): Promise<string> {
+  const path = join(folder, 'identity');
+  if (existsSync(path)) return readFileSync(path, 'utf8').trim();
+  if (existsSync(join(folder, 'log'))) raise({ kind: 'storeCorrupt', reason: 'identity is gone' });
+  const storeId = randomUUID();
+  await replaceFile(path, Buffer.from(`${storeId}\n`));
+  await syncFolder(folder);
+  return storeId;
+}
+
+function readSnapshot(path: string): SnapshotFile | undefined {
+  if (!existsSync(path)) return undefined;
+  const bytes = readFileSync(path);
+  const record = readRecord(bytes, 0);
+  if (record.kind !== 'record') raise({ kind: 'storeCorrupt', reason: 'snapshot is damaged' });
+  return SnapshotFile.decode(record.payload);
+}
+
+interface RecoveredLog {
+  initial: RaftInitial;
+  validBytes: number;
+  cutBytes: number;
+}
+
+function recoverLog(path: string, snapshot: SnapshotFile | undefined): RecoveredLog {
+  const bytes = existsSync(path) ? readFileSync(path) : Buffer.alloc(0);
+  const header = snapshot?.header ?? emptyHeader;
+  let hardState: HardState = { term: 0, votedFor: '' };
+  const entries: LogEntry[] = [];
+  let offset = 0;
+  while (offset < bytes.length) {
+    const read = readRecord(bytes, offset);
+    if (read.kind === 'incomplete') break;
+    // A record that was complete may have been acknowledged, so it cannot just be dropped.
+    if (read.kind === 'damaged') raise({ kind: 'storeCorrupt', reason: `record at ${offset}` });
+    offset = read.end;
+    const { record } = LogRecord.decode(read.payload);
+    if (record?.$case === 'hardState') hardState = record.value;
+    if (record?.$case === 'entry') placeEntry(entries, record.value, header.index);
+  }
+  const initial = { hardState, header, entries };
+  return { initial, validBytes: offset, cutBytes: bytes.length - offset };
+}
+
+function placeEntry(entries: LogEntry[], entry: LogEntry, snapshotIndex: number): void {
+  if (entry.index <= snapshotIndex) return;
+  const position = entry.index - snapshotIndex - 1;
+  if (position > entries.length) raise({ kind: 'storeCorrupt', reason: `gap at ${entry.index}` });
+  entries.length = position;
+  entries.push(entry);
+}
+
+type ReadRecord =
+  { kind: 'record'; payload: Buffer; end: number } | { kind: 'incomplete' } | { kind: 'damaged' };
+
+function readRecord(bytes: Buffer, offset: number): ReadRecord {
+  const start = offset + RECORD_HEADER_BYTES;
+  if (start > bytes.length) return { kind: 'incomplete' };
+  const end = start + bytes.readUInt32BE(offset);
+  if (end > bytes.length) return { kind: 'incomplete' };
+  const payload = bytes.subarray(start, end);
+  if (crc32(payload) !== bytes.readUInt32BE(offset + 4)) return { kind: 'damaged' };
+  return { kind: 'record', payload, end };
+}
+
+function encodeRecords(hardState: HardState | undefined, entries: readonly LogEntry[]): Buffer {
+  const records: Buffer[] = [];
+  if (hardState !== undefined) {
+    const record = { record: { $case: 'hardState' as const, value: hardState } };
+    records.push(encodeRecord(Buffer.from(LogRecord.encode(record).finish())));
+  }
+  for (const entry of entries) {
+    const record = { record: { $case: 'entry' as const, value: entry } };
+    records.push(encodeRecord(Buffer.from(LogRecord.encode(record).finish())));
+  }
+  return Buffer.concat(records);
+}
+
+function encodeRecord(payload: Buffer): Buffer {
+  const header = Buffer.alloc(RECORD_HEADER_BYTES);
+  header.writeUInt32BE(payload.length, 0);
+  header.writeUInt32BE(crc32(payload), 4);
+  return Buffer.concat([header, payload]);
+}
+
+async function writeAll(file: FileHandle, bytes: Buffer): Promise<void> {
+  let offset = 0;
+  while (offset < bytes.length) {
+    const { bytesWritten } = await file.write(bytes, offset);
+    offset += bytesWritten;
+  }
+}
+
+async function replaceFile(path: string, bytes: Buffer): Promise<void> {
+  const file = await open(`${path}.tmp`, 'w');
+  try {
+    await writeAll(file, bytes);
+    await file.sync();
+  } finally {
+    await file.close();
+  }
+  await rename(`${path}.tmp`, path);
+}
+
+async function syncFolder(folder: string): Promise<void> {
+  const handle = await open(folder, 'r');
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+}
--- /dev/null
+++ b/test/fakes/service.ts
@@ -0,0 +1,36 @@
+/** A stand-in for a plain service whose POST calls must not be repeated. */
+
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Recorder } from './recorder.js';
+import type { FakeHandler } from './types.js';
+
+/** Abilities of a stand-in service. */
+export interface ServiceOptions {
+  /** Time of one call; milliseconds. */
+  delayMs: number;
+}
+
+/** Creates the service's request handler. */
+export function createService(options: ServiceOptions, recorder: Recorder): FakeHandler {
+  let { delayMs } = options;
+  let calls = 0;
+
+  return { handle, control };
+
+  function control(change: Record<string, unknown>): void {
+    if (typeof change.delayMs === 'number') delayMs = change.delayMs;
+  }
+
+  function handle(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
+    const id = String(request.headers['x-request-id']);
+    calls += 1;
+    const call = calls;
+    const { method, url } = request;
+    recorder.note('started', id, { detail: `${method} ${url} ${body.toString('utf8')}` });
+    setTimeout(() => {
+      recorder.note('finished', id);
+      response.writeHead(method === 'POST' ? 201 : 200, { 'content-type': 'application/json' });
+      response.end(JSON.stringify({ call, method, url, echo: body.toString('utf8') }));
+    }, delayMs);
+  }
+}
