--- a/src/keeper/repair.ts
+++ b/src/keeper/repair.ts
@@ -5,13 +5,16 @@
 import { ELECTION_TIMEOUT_MS } from './raftCore.js';
 import type { RunningReplica } from './replica.js';
 
+/** What changes of the membership need of a replica. */
+export type MembershipOwner = Pick<RunningReplica, 'raft' | 'isServing' | 'proposeMembership'>;
+
 /** Entries that a learner may lag behind when it becomes a voter. */
 const MAX_LAG_ENTRIES = 64;
 
 export type JoinOutcome = 'learner' | 'voter' | 'busy' | 'not_leader';
 
 /** Takes in a replica as a learner, unless it is a member already. */
-export function admitLearner(replica: RunningReplica, joining: Replica): JoinOutcome {
+export function admitLearner(replica: MembershipOwner, joining: Replica): JoinOutcome {
   const { raft } = replica;
   if (raft.role !== 'leader') return 'not_leader';
   const { voters, learners } = raft.log.membership;
@@ -26,7 +29,7 @@
  * Makes the next change that leads a caught-up learner to a vote: first the lost voter of the same
  * id is removed, then the learner is promoted.
  */
-export function repairMembership(replica: RunningReplica, clock: Clock): void {
+export function repairMembership(replica: MembershipOwner, clock: Clock): void {
   const { raft } = replica;
   if (!replica.isServing) return;
   const { membership } = raft.log;
@@ -37,7 +40,7 @@
   }
 }
 
-function isCaughtUp(replica: RunningReplica, learner: Replica, now: number): boolean {
+function isCaughtUp(replica: MembershipOwner, learner: Replica, now: number): boolean {
   const progress = replica.raft.getProgress(learner.storeId);
   if (progress === undefined || progress.matchIndex === 0) return false;
   const isRecent = now - progress.contactAtMs < ELECTION_TIMEOUT_MS;
