--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -58,6 +58,7 @@
     } catch (caught) {
       cell.state = 'broken';
       cell.detail = (caught as Error).message;
+      writeLine(await deployment.describe());
       await deployment.stop();
       deployment = undefined;
     }
