Hold equal prompt heads back, and test tiers with long requests below

Cause: with the floors taken out, and with preemption taken out, the tier tests still passed: the order of the queue alone kept long requests out of the way. Two tests with long requests of the lowest tier in every slot reach both mechanisms: in time by preemption, and a full waiting room.

--- a/src/agent/fairness.ts
+++ b/src/agent/fairness.ts
@@ -13,6 +13,11 @@
   charge(job: Job): void;
 }
 
+/** No fairness between teams, for measurement. */
+export function createNoFairness(): Fairness {
+  return { getRank: () => 0, charge: () => {} };
+}
+
 /** Creates a record in which no team has received anything. */
 export function createFairness(): Fairness {
   const received = new Map<string, number>();
--- a/src/agent/reservationQueue.ts
+++ b/src/agent/reservationQueue.ts
@@ -30,6 +30,8 @@
   gauge: SpeedGauge;
   /** Whether nothing may be granted now. */
   isHeld(): boolean;
+  /** Whether the job should wait until its prompt's head, which is being computed, is cached. */
+  awaitsPrefix(job: Job): boolean;
 }
 
 /** The waiting reservations, as p-queue and the scheduler see them. */
@@ -84,10 +86,12 @@
 
   function pick(): Job | undefined {
     if (entries.size === 0 || host.isHeld()) return undefined;
-    const head = findFirst(() => true);
+    const head = findFirst((job) => !host.awaitsPrefix(job));
     if (head === undefined || host.room.fits(head)) return head;
     if (host.clock.now() - head.enqueuedAt > HEAD_PATIENCE_MS) return undefined;
-    return findFirst((job) => job.tierRank === head.tierRank && host.room.fits(job));
+    return findFirst(
+      (job) => job.tierRank === head.tierRank && host.room.fits(job) && !host.awaitsPrefix(job),
+    );
   }
 
   function findFirst(isCandidate: (job: Job) => boolean): Job | undefined {
--- a/src/agent/room.ts
+++ b/src/agent/room.ts
@@ -12,6 +12,7 @@
   take(job: Job): void;
   free(job: Job): void;
   list(): Job[];
+  values(): Iterable<Job>;
 }
 
 /** Creates an empty room; `getSpeed` is the observed speed against the stated one. */
@@ -33,6 +34,7 @@
     take,
     free,
     list: () => [...jobs],
+    values: () => jobs,
   };
   return room;
 
--- a/src/agent/runner.ts
+++ b/src/agent/runner.ts
@@ -22,11 +22,16 @@
   wallTimeUs(): number;
 }
 
+/** A runner's surroundings and what it tells. */
+interface RunHost extends RunnerHost {
+  onFirstByte(): void;
+}
+
 type ReadResult = { kind: 'ended'; tail: string } | { kind: 'cut'; reason: string };
 
 /** Resolves when the answer has ended or cannot be completed. */
 export async function runJob(
-  host: RunnerHost,
+  host: RunHost,
   job: Job,
   start: RunStart,
   stream: AnswerStream,
@@ -61,12 +66,7 @@
   return { kind: 'cut', reason: 'the stream could not be resumed' };
 }
 
-function begin(
-  host: RunnerHost,
-  job: Job,
-  start: RunStart,
-  signal: AbortSignal,
-): Promise<SendResult> {
+function begin(host: RunHost, job: Job, start: RunStart, signal: AbortSignal): Promise<SendResult> {
   if (start.kind === 'dispatch') return host.client.send(job.requestId, start.dispatch, signal);
   return host.client.resume(job.requestId, start.offset, signal);
 }
@@ -75,14 +75,14 @@
   return start.kind === 'dispatch' ? { kind: 'notRun', reason } : { kind: 'cut', reason };
 }
 
-async function stopRun(host: RunnerHost, job: Job): Promise<RunOutcome> {
+async function stopRun(host: RunHost, job: Job): Promise<RunOutcome> {
   if (job.stopReason === 'endpointGone') return { kind: 'cut', reason: 'the endpoint is silent' };
   if (host.isEngine) await host.client.cancel(job.requestId);
   return { kind: 'stopped', reason: job.stopReason ?? 'callerLeft' };
 }
 
 async function readAnswer(
-  host: RunnerHost,
+  host: RunHost,
   job: Job,
   answer: EndpointAnswer,
   stream: AnswerStream,
@@ -104,8 +104,9 @@
   return isWhole ? { kind: 'ended', tail: text } : { kind: 'cut', reason: 'no end mark' };
 }
 
-function noteFirstByte(host: RunnerHost, job: Job): void {
+function noteFirstByte(host: RunHost, job: Job): void {
   if (job.firstByteAt > 0) return;
   job.firstByteAt = host.now();
   job.span.firstByteUs = host.wallTimeUs();
+  host.onFirstByte();
 }
--- a/src/agent/scheduler.ts
+++ b/src/agent/scheduler.ts
@@ -16,6 +16,7 @@
 import { createGrantLedger } from './grantLedger.js';
 import { createJob } from './job.js';
 import { chooseVictims, getWaste, isUrgent } from './preemption.js';
+import { awaitsPrefix } from './prefixHold.js';
 import type { Prefixes } from './prefixes.js';
 import { createReservationQueue, type JobOptions } from './reservationQueue.js';
 import type { Room } from './room.js';
@@ -52,6 +53,8 @@
   prefixes: Prefixes;
   speeds: Speeds | undefined;
   slots: number;
+  /** Mechanisms that are left out, for measurement. */
+  without: ReadonlySet<string>;
   hasLease(): boolean;
   /** Newest revision of the configuration that is known to be committed. */
   getConfigRevision(): number;
@@ -113,6 +116,7 @@
     fairness: host.fairness,
     gauge,
     isHeld: () => isDraining || !host.hasLease() || !host.isEndpointReady(),
+    awaitsPrefix: (job) => !host.without.has('prefixHold') && awaitsPrefix(job, room, gauge, clock),
   });
   const queue = new PQueue<InstanceType<typeof queueClass>, JobOptions>({
     concurrency: host.slots,
@@ -223,7 +227,7 @@
     const stream = createAnswerStream(send, offset);
     const run: Run = { job, stream, abort: new AbortController() };
     runs.set(job.requestId, run);
-    runJob(host, job, runStart, stream, run.abort.signal)
+    runJob({ ...host, onFirstByte: kick }, job, runStart, stream, run.abort.signal)
       .then((outcome) => finish(run, outcome))
       .catch((caught: Error) => finish(run, { kind: 'cut', reason: caught.message }));
   }
@@ -348,6 +352,7 @@
   }
 
   function preemptFor(head: Job | undefined): void {
+    if (host.without.has('preemption')) return;
     if (head === undefined || room.fits(head) || !isUrgent(head, gauge, clock.now())) return;
     for (const victim of chooseVictims(head, room, host.speeds, clock.now())) preempt(victim);
   }
--- a/src/daemon/agentProcess.ts
+++ b/src/daemon/agentProcess.ts
@@ -4,7 +4,7 @@
 import { createConnections } from '../agent/connections.js';
 import { createEndpointClient } from '../agent/endpointClient.js';
 import { createEndpointWatch } from '../agent/endpointWatch.js';
-import { createFairness } from '../agent/fairness.js';
+import { createFairness, createNoFairness } from '../agent/fairness.js';
 import { createOrders } from '../agent/orders.js';
 import { createPrefixes } from '../agent/prefixes.js';
 import { createRoom } from '../agent/room.js';
@@ -41,7 +41,9 @@
 ): Promise<RunningProcess> {
   const { agent } = settings;
   const speeds = getSpeeds(agent);
-  const tokenRoom = agent.tokenRoom ?? Number.MAX_SAFE_INTEGER;
+  const without = new Set<string>(agent.without);
+  const tokens = agent.tokenRoom ?? Number.MAX_SAFE_INTEGER;
+  const tokenRoom = without.has('tokenRoom') ? Number.MAX_SAFE_INTEGER : tokens;
   const gauge = createSpeedGauge(speeds);
   const room = createRoom(agent.slots, tokenRoom, () => gauge.speed);
   const client = createEndpointClient(
@@ -106,10 +108,11 @@
     incarnation,
     room,
     gauge,
-    fairness: createFairness(),
-    prefixes: createPrefixes(tokenRoom),
+    fairness: without.has('fairness') ? createNoFairness() : createFairness(),
+    prefixes: createPrefixes(tokens),
     speeds,
     slots: agent.slots,
+    without,
     hasLease: () => session.hasLease(),
     getConfigRevision: () => session.configRevision,
     isEndpointReady: () => watch.isReady,
--- a/src/daemon/entryProcess.ts
+++ b/src/daemon/entryProcess.ts
@@ -64,6 +64,7 @@
     },
     createMember(settings, incarnation),
   );
+  const policy = createPolicy(settings.entry.policy ?? 'grants', new Set(settings.entry.without));
   let directory = createDirectory(session.view);
   const floors = createFloors({
     clock,
@@ -75,7 +76,7 @@
     clock,
     logger,
     links,
-    policy: createPolicy(settings.entry.policy ?? 'grants'),
+    policy,
     floors,
     getDirectory: () => directory,
     hasLease: () => session.hasLease(),
@@ -94,6 +95,7 @@
     listWaiting: () => running.listWaiting(),
     countWaiting: () => running.waitingCount,
     getLowestRank: () => directory.lowestRank,
+    knowsTiers: policy.knowsTiers,
     shed: (request, problem) => running.shed(request, problem),
   });
   const calls = createCalls({
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -110,11 +110,12 @@
     const { team, tier } = request;
     request.reservations.add(link.id);
     link.reserved += 1;
+    const { knowsTiers } = host.policy;
     const value = {
-      tierRank: tier.rank,
-      team: team.name,
+      tierRank: knowsTiers ? tier.rank : 0,
+      team: knowsTiers ? team.name : '',
       shedOrder: team.shedOrder ?? 0,
-      weight: team.weight ?? 1,
+      weight: knowsTiers ? (team.weight ?? 1) : 1,
       promptTokens: request.promptTokens,
       outputTokens: request.outputTokens,
       usefulMs: Math.max(0, Math.round(request.usefulUntil - now)),
--- a/src/entry/placement.ts
+++ b/src/entry/placement.ts
@@ -18,12 +18,17 @@
 
 /** A way to choose agents. */
 export interface PlacementPolicy {
+  /** Whether tiers and teams count; the baselines know neither. */
+  readonly knowsTiers: boolean;
   /** Agents to reserve with now, out of `candidates`, which hold no reservation yet. */
   choose(request: PendingRequest, candidates: readonly AgentLink[], now: number): AgentLink[];
 }
 
 /** Creates the policy of the name. */
-export function createPolicy(name: PolicyName): PlacementPolicy {
+export function createPolicy(
+  name: PolicyName,
+  without: ReadonlySet<string> = new Set(),
+): PlacementPolicy {
   switch (name) {
     case 'roundRobin':
       return new RoundRobin();
@@ -32,19 +37,24 @@
     case 'firstCome':
       return new FirstCome();
     default:
-      return new LateBinding();
+      return new LateBinding(without);
   }
 }
 
 /** A few reservations at first, more as time passes; long prompts prefer a warm cache. */
 class LateBinding implements PlacementPolicy {
+  public readonly knowsTiers = true;
+
+  public constructor(private readonly without: ReadonlySet<string>) {}
+
   public choose(
     request: PendingRequest,
     candidates: readonly AgentLink[],
     now: number,
   ): AgentLink[] {
     const held = request.reservations.size;
-    if (held >= MAX_RESERVATIONS) return [];
+    const isFull = held >= MAX_RESERVATIONS || (held > 0 && this.without.has('broadening'));
+    if (isFull) return [];
     if (held === 0) {
       const preferred = this.tryGetPreferred(request, candidates);
       return preferred === undefined ? chooseLightest(candidates, FIRST_RESERVATIONS) : [preferred];
@@ -57,6 +67,7 @@
     request: PendingRequest,
     candidates: readonly AgentLink[],
   ): AgentLink | undefined {
+    if (this.without.has('affinity')) return undefined;
     if (request.promptTokens < AFFINITY_TOKENS || request.prefixHash === '') return undefined;
     const ordered = candidates.toSorted(
       (left, right) =>
@@ -77,6 +88,8 @@
 
 /** Baseline: each agent in turn. */
 class RoundRobin implements PlacementPolicy {
+  public readonly knowsTiers = false;
+
   private next = 0;
 
   public choose(request: PendingRequest, candidates: readonly AgentLink[]): AgentLink[] {
@@ -90,6 +103,8 @@
 
 /** Baseline: the agent that reported the least load. */
 class LeastLoad implements PlacementPolicy {
+  public readonly knowsTiers = false;
+
   public choose(request: PendingRequest, candidates: readonly AgentLink[]): AgentLink[] {
     if (request.reservations.size > 0) return [];
     let least: AgentLink | undefined;
@@ -102,6 +117,8 @@
 
 /** Baseline: whoever has room first, in the order of arrival. */
 class FirstCome implements PlacementPolicy {
+  public readonly knowsTiers = false;
+
   public choose(request: PendingRequest, candidates: readonly AgentLink[]): AgentLink[] {
     return request.reservations.size > 0 ? [] : [...candidates];
   }
--- a/src/entry/shedding.ts
+++ b/src/entry/shedding.ts
@@ -18,6 +18,8 @@
   listWaiting(): Iterable<PendingRequest>;
   countWaiting(): number;
   getLowestRank(): number;
+  /** Whether tiers count at all; baselines of measurements know none. */
+  knowsTiers: boolean;
   shed(request: PendingRequest, problem: Problem): void;
 }
 
@@ -64,7 +66,7 @@
   /** Whether nothing of a lower tier is served; asks for that where it is not yet so. */
   function isSheddable(request: PendingRequest): boolean {
     const { rank } = request.tier;
-    if (rank >= host.getLowestRank()) return true;
+    if (!host.knowsTiers || rank >= host.getLowestRank()) return true;
     host.floors.request(request.pool, rank);
     return host.floors.isConfirmed(request.pool, rank);
   }
--- a/test/fakes/engine.ts
+++ b/test/fakes/engine.ts
@@ -24,6 +24,8 @@
   checksFencing: boolean;
   /** A prompt that contains this text ends the process. */
   crashText?: string;
+  /** Answers at once, for measuring what the way to the engine costs. */
+  instant?: boolean;
 }
 
 interface Stream {
@@ -111,6 +113,15 @@
     response.writeHead(200, { 'content-type': type });
     if (request.stream) response.flushHeaders();
     listen(stream, response, 0);
+    if (options.instant) answerAtOnce(stream);
+  }
+
+  function answerAtOnce(stream: Stream): void {
+    queue.pop();
+    for (const token of stream.tokens) {
+      if (stream.request.stream) emit(stream, toEvent(stream.request.model, stream.id, token));
+    }
+    finish(stream);
   }
 
   function listen(stream: Stream, response: ServerResponse, offset: number): void {
--- a/test/faults/tiers.test.ts
+++ b/test/faults/tiers.test.ts
@@ -9,6 +9,9 @@
 /** An answer may be this much on its way after the decision to drop; milliseconds. */
 const DELIVERY_MS = 50;
 const BURST_MS = 6_000;
+/** Output of a request that runs for 4 s. */
+const LONG_TOKENS = 400;
+const MAX_WAITING = 40;
 const tierRanks: Record<string, number> = { sorters: 0, weighers: 1, buyers: 2 };
 
 interface Outcome {
@@ -34,7 +37,7 @@
       endpoints: ['engine-a', 'engine-b', 'engine-c'].map((id) =>
         createEnginePlan(id, 'kernel-lm', { slots: 2, decodeRate: 100 }),
       ),
-      entry: { maxWaiting: 40 },
+      entry: { maxWaiting: MAX_WAITING },
       proxied: true,
     });
     await deployment.waitReady();
@@ -43,28 +46,46 @@
 
   after(() => deployment.stop());
 
-  function createBody(team: string): object {
+  function createBody(team: string, tokens = 30): object {
     const content = `${team} ${Math.random()}`;
     const messages = [{ role: 'user', content }];
-    return { model: 'kernel-lm', max_tokens: 30, stream: true, messages };
+    return { model: 'kernel-lm', max_tokens: tokens, stream: true, messages };
+  }
+
+  async function send(
+    team: string,
+    usefulMs: number,
+    entry: number,
+    tokens?: number,
+  ): Promise<Outcome> {
+    const headers = { 'x-useful-ms': String(usefulMs) };
+    const body = createBody(team, tokens);
+    const answer = await askModel(deployment.entryUrl(entry), body, { team, headers });
+    return { team, answer, at: Date.now() };
+  }
+
+  /** Fills each slot with a long request of the lowest tier. */
+  async function fillSlots(): Promise<Promise<Outcome>[]> {
+    const long = Array.from({ length: 6 }, (_unused, index) =>
+      send('buyers', 30_000, index % 2, LONG_TOKENS),
+    );
+    await delay(500);
+    return long;
   }
 
   /** Calls of one team at a rate, until stopped. */
   function startCalls(team: string, perSecond: number, usefulMs: number) {
     const outcomes: Promise<Outcome | undefined>[] = [];
     let sent = 0;
-    const send = async (): Promise<Outcome | undefined> => {
+    const trySend = async (): Promise<Outcome | undefined> => {
       sent += 1;
-      const headers = { 'x-useful-ms': String(usefulMs) };
-      const url = deployment.entryUrl(sent % 2);
       try {
-        const answer = await askModel(url, createBody(team), { team, headers });
-        return { team, answer, at: Date.now() };
+        return await send(team, usefulMs, sent % 2);
       } catch {
         return undefined;
       }
     };
-    const timer = setInterval(() => outcomes.push(send()), 1_000 / perSecond);
+    const timer = setInterval(() => outcomes.push(trySend()), 1_000 / perSecond);
     return async (): Promise<Outcome[]> => {
       clearInterval(timer);
       const ended = await Promise.all(outcomes);
@@ -116,6 +137,34 @@
     ).length;
   }
 
+  it('preempt long requests below them in time', async () => {
+    const long = await fillSlots();
+    const urgent = await Promise.all(
+      Array.from({ length: 6 }, (_unused, index) => send('sorters', 1_500, index % 2)),
+    );
+    for (const { answer } of urgent) {
+      assert.ok(answer.isWhole, `${answer.problem}`);
+      assert.ok(answer.totalMs <= 1_500, `took ${answer.totalMs} ms`);
+    }
+    const preempted = (await Promise.all(long)).filter(
+      ({ answer }) => answer.problem === 'preempted',
+    );
+    assert.ok(preempted.length > 0);
+    assert.ok(preempted.every(({ answer }) => answer.outcome === 'ran'));
+  });
+
+  it('are not shed for want of room to wait while a lower one runs', async () => {
+    const long = await fillSlots();
+    const burst = await Promise.all(
+      Array.from({ length: 4 * MAX_WAITING }, (_unused, index) =>
+        send('sorters', 30_000, index % 2),
+      ),
+    );
+    const outcomes = [...burst, ...(await Promise.all(long))];
+    const dropped = checkDrops(outcomes);
+    assert.ok(dropped > 0, 'more came than may wait');
+  });
+
   it('are shed from below in a burst, across two entries', async () => {
     // Six slots of 0.3 s serve about 20 requests a second; 50 arrive.
     const stops = [
