Show traces, metrics and log numbers; prove a service's agent leaves whole

Cause: with the agent's wait for its runs taken out, the leaving tests still passed, since streams of engines are taken over by the next incarnation. Calls of a plain service cannot be resumed, so a test with them is what shows a cut.

--- a/test/fakes/engine.ts
+++ b/test/fakes/engine.ts
@@ -21,6 +21,8 @@
   /** Tokens a second of each request. */
   decodeRate: number;
   cacheTokens: number;
+  /** Tokens of prompt and output that running requests may hold; no limit by default. */
+  kvTokens?: number;
   checksFencing: boolean;
   /** A prompt that contains this text ends the process. */
   crashText?: string;
@@ -83,14 +85,15 @@
       takeOrder(Number(request.headers['x-fencing-token']), body, response);
       return;
     }
-    accept(String(request.headers['x-request-id']), body, response);
+    const traceparent = String(request.headers.traceparent ?? '');
+    accept(String(request.headers['x-request-id']), traceparent, body, response);
   }
 
-  function accept(id: string, body: Buffer, response: ServerResponse): void {
+  function accept(id: string, traceparent: string, body: Buffer, response: ServerResponse): void {
     const request = JSON.parse(body.toString('utf8')) as FakeModelRequest;
     const prompt = getPrompt(request);
     const promptTokens = Math.ceil(prompt.length / CHARACTERS_PER_TOKEN);
-    recorder.note('arrived', id, { promptTokens });
+    recorder.note('arrived', id, { promptTokens, detail: traceparent });
     if (options.crashText !== undefined && prompt.includes(options.crashText)) process.exit(70);
     const stream: Stream = {
       id,
@@ -188,8 +191,9 @@
 
   function admit(): void {
     while (running.size < options.slots) {
-      const stream = queue.shift();
-      if (stream === undefined) return;
+      const stream = queue[0];
+      if (stream === undefined || !hasKvRoom(stream)) return;
+      queue.shift();
       stream.state = 'running';
       stream.cachedTokens = Math.min(cache.match(stream.prompt), stream.promptTokens - 1);
       running.add(stream);
@@ -198,6 +202,14 @@
     }
   }
 
+  /** As in real engines, a request that does not fit holds up those behind it. */
+  function hasKvRoom(next: Stream): boolean {
+    if (options.kvTokens === undefined || running.size === 0) return true;
+    let held = 0;
+    for (const stream of running) held += stream.promptTokens + stream.tokens.length;
+    return held + next.promptTokens + next.tokens.length <= options.kvTokens;
+  }
+
   function decode(stream: Stream, seconds: number): void {
     if (stream.emitted === 0) recorder.note('firstToken', stream.id);
     stream.credit += stream.emitted === 0 ? 1 : options.decodeRate * seconds;
--- a/test/faults/leaving.test.ts
+++ b/test/faults/leaving.test.ts
@@ -2,16 +2,19 @@
 
 import assert from 'node:assert/strict';
 import { after, before, describe, it } from 'node:test';
-import { askModel, isExpected, type CallerAnswer } from '../fixtures/caller.js';
+import { askModel, callService, isExpected, type CallerAnswer } from '../fixtures/caller.js';
 import { createDeployment, delay, waitFor, type Deployment } from '../fixtures/deployment.js';
 import {
   createBaseTicketToml,
   createEnginePlan,
   createExplanationBody,
+  createServicePlan,
 } from '../fixtures/workloads.js';
 
 /** The brief's "a few seconds". */
 const LEAVE_LIMIT_MS = 3_000;
+/** Time of one call of the plain service, whose answers cannot be resumed; milliseconds. */
+const SERVICE_DELAY_MS = 400;
 
 describe('leaving under load', () => {
   let deployment: Deployment;
@@ -20,7 +23,12 @@
     deployment = await createDeployment({
       keepers: 3,
       entries: 2,
-      endpoints: [createEnginePlan('engine-a'), createEnginePlan('engine-b')],
+      endpoints: [
+        createEnginePlan('engine-a'),
+        createEnginePlan('engine-b'),
+        createServicePlan('desk-a', 'order-desk', SERVICE_DELAY_MS),
+        createServicePlan('desk-b', 'order-desk', SERVICE_DELAY_MS),
+      ],
       proxied: true,
     });
     await deployment.waitReady();
@@ -94,6 +102,32 @@
     await load.stop();
   });
 
+  it("a service's agent that is stopped finishes its calls", async () => {
+    let isRunning = true;
+    const failures: string[] = [];
+    let count = 0;
+    const run = async () => {
+      while (isRunning) {
+        count += 1;
+        const headers = { 'idempotency-key': `leaving-${count}` };
+        const options = { team: 'shops', headers };
+        const url = deployment.entryUrl(count % 2);
+        const answer = await callService(url, 'POST', 'order-desk/orders', `${count}`, options);
+        if (answer.status !== 201) failures.push(`${answer.status} ${answer.problem}`);
+      }
+    };
+    const callers = [run(), run(), run(), run()];
+    await delay(600);
+    const stopped = deployment.getProcess('desk-a');
+    stopped.signal('SIGTERM');
+    assert.equal(await stopped.exited, 0);
+    deployment.restart('desk-a');
+    await delay(500);
+    isRunning = false;
+    await Promise.all(callers);
+    assert.deepEqual(failures, []);
+  });
+
   it('an entry that is stopped finishes its answers', async () => {
     const load = startLoad([0, 1]);
     await delay(500);
@@ -118,7 +152,7 @@
   it('an endpoint that falls silent gets no new work after a few seconds', async () => {
     await waitFor('all leases', async () => {
       const { members } = await deployment.status();
-      return members.filter((member) => member.hasLease).length === 4;
+      return members.filter((member) => member.hasLease).length === 6;
     });
     deployment.getProcess('engine-a/endpoint').signal('SIGSTOP');
     const stoppedAt = Date.now();
--- /dev/null
+++ b/test/integration/observability.test.ts
@@ -0,0 +1,107 @@
+/** Spans of each hop under one trace, metrics and numbered log lines. */
+
+import assert from 'node:assert/strict';
+import { createSocket, type Socket } from 'node:dgram';
+import { once } from 'node:events';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { after, before, describe, it } from 'node:test';
+import { events } from '../../src/generated/events.js';
+import { askModel } from '../fixtures/caller.js';
+import { createDeployment, waitFor, type Deployment } from '../fixtures/deployment.js';
+import { createBaseTicketToml, createEnginePlan, createLabelBody } from '../fixtures/workloads.js';
+
+interface SpanRecord {
+  name: string;
+  traceId: string;
+  spanId: string;
+  parentSpanId?: string;
+}
+
+interface TraceExport {
+  resourceSpans: { scopeSpans: { spans: SpanRecord[] }[] }[];
+}
+
+describe('what operators see', () => {
+  const spans: SpanRecord[] = [];
+  const metrics: string[] = [];
+  let receiver: Server;
+  let statsd: Socket;
+  let deployment: Deployment;
+
+  before(async () => {
+    receiver = createServer((request, response) => {
+      const chunks: Buffer[] = [];
+      request.on('data', (chunk: Buffer) => chunks.push(chunk));
+      request.on('end', () => {
+        const body = JSON.parse(Buffer.concat(chunks).toString('utf8')) as TraceExport;
+        for (const resource of body.resourceSpans) {
+          for (const scope of resource.scopeSpans) spans.push(...scope.spans);
+        }
+        response.end('{}');
+      });
+    });
+    receiver.listen(0, '127.0.0.1');
+    await once(receiver, 'listening');
+    statsd = createSocket('udp4');
+    statsd.on('message', (message) => metrics.push(message.toString('utf8')));
+    statsd.bind(0, '127.0.0.1');
+    await once(statsd, 'listening');
+    const { port } = receiver.address() as AddressInfo;
+    deployment = await createDeployment({
+      keepers: 1,
+      entries: 1,
+      endpoints: [createEnginePlan('engine-a')],
+      settings: {
+        tracing: { otlp: `http://127.0.0.1:${port}/v1/traces` },
+        metrics: { statsd: `127.0.0.1:${statsd.address().port}` },
+      },
+    });
+    await deployment.waitReady();
+    await deployment.applyTicket(createBaseTicketToml());
+  });
+
+  after(async () => {
+    await deployment.stop();
+    receiver.close();
+    statsd.close();
+  });
+
+  it('is a span for each hop under the trace of the caller', async () => {
+    const traceId = '4bf92f3577b34da6a3ce929d0e0e4736';
+    const callerSpan = '00f067aa0ba902b7';
+    const headers = { traceparent: `00-${traceId}-${callerSpan}-01` };
+    const answer = await askModel(deployment.entryUrl(), createLabelBody('x'), {
+      team: 'sorters',
+      headers,
+    });
+    assert.equal(answer.status, 200);
+    const own = await waitFor('the spans', () => {
+      const found = spans.filter((span) => span.traceId === traceId);
+      return found.length >= 2 ? found : undefined;
+    });
+    const entry = own.find(({ name }) => name.startsWith('entry '));
+    const agent = own.find(({ name }) => name.startsWith('agent '));
+    assert.equal(entry?.parentSpanId, callerSpan);
+    assert.equal(agent?.parentSpanId, entry?.spanId);
+    const arrived = deployment.readRecords('engine-a').find(({ kind }) => kind === 'arrived');
+    assert.equal(arrived?.detail, `00-${traceId}-${agent?.spanId}-01`);
+  });
+
+  it('are metrics by tier and outcome', async () => {
+    await waitFor('the metrics', () => {
+      const text = metrics.join('\n');
+      return text.includes('turmericrack.entry.goodput:1|c') && text.includes('tier:now');
+    });
+  });
+
+  it('are log lines with the numbers of the catalogue', () => {
+    const codes = new Map(Object.entries(events).map(([name, { code }]) => [code, name]));
+    for (const id of [...deployment.keeperIds, ...deployment.entryIds, ...deployment.agentIds]) {
+      for (const line of deployment.getProcess(id).output) {
+        const { code, event } = JSON.parse(line) as { code: number; event: string };
+        assert.equal(codes.get(code as never), event, line);
+      }
+    }
+  });
+});
