--- /dev/null
+++ b/test/faults/keepers.test.ts
@@ -0,0 +1,158 @@
+/** Keepers: lost, damaged and torn stores, a second loss right after a repair, silent isolation. */
+
+import assert from 'node:assert/strict';
+import { existsSync, readFileSync, truncateSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { after, before, describe, it } from 'node:test';
+import { stringify } from 'smol-toml';
+import { request } from 'undici';
+import type { TicketDescription } from '../../src/cli/types.js';
+import { createDeployment, delay, waitFor, type Deployment } from '../fixtures/deployment.js';
+
+describe('keepers', () => {
+  let deployment: Deployment;
+  let number = 0;
+
+  before(async () => {
+    deployment = await createDeployment({
+      keepers: 3,
+      entries: 0,
+      endpoints: [],
+      proxied: true,
+      snapshotEntries: 50,
+    });
+    await deployment.status();
+  });
+
+  after(() => deployment.stop());
+
+  async function applyTickets(count: number): Promise<void> {
+    for (let applied = 0; applied < count; applied += 1) {
+      number += 1;
+      await submit(number);
+    }
+  }
+
+  async function submit(ticketNumber: number): Promise<void> {
+    const tier = [{ name: 'now', rank: 0, usefulMs: ticketNumber }];
+    const body = stringify({ number: ticketNumber, tier });
+    await waitFor('an accepted ticket', async () => {
+      const { leader } = await deployment.status();
+      const address = deployment.operatorAddresses[deployment.keeperIds.indexOf(leader)];
+      try {
+        const response = await request(`http://${address}/v1/tickets`, { method: 'POST', body });
+        await response.body.dump();
+        return response.statusCode === 200;
+      } catch {
+        return false;
+      }
+    });
+  }
+
+  async function checkHistory(): Promise<void> {
+    const { output } = await deployment.cli('ticket', 'history', '--json');
+    const { tickets } = JSON.parse(output) as { tickets: TicketDescription[] };
+    const numbers = tickets.map((ticket) => ticket.number);
+    assert.deepEqual(
+      numbers,
+      Array.from({ length: number }, (_unused, index) => index + 1),
+    );
+  }
+
+  async function waitRepaired(): Promise<void> {
+    await waitFor('three voters that are up to date', async () => {
+      const { keepers } = await deployment.status();
+      const running = deployment.keeperIds.every((id) => deployment.getProcess(id).isRunning);
+      const stores = keepers.voters.map(({ id, storeId }) => readStoreId(id) === storeId);
+      return (
+        running && keepers.learners.length === 0 && stores.length === 3 && stores.every(Boolean)
+      );
+    });
+  }
+
+  function readStoreId(id: string): string {
+    const path = join(deployment.getDataFolder(id), 'keeper', 'identity');
+    return existsSync(path) ? readFileSync(path, 'utf8').trim() : '';
+  }
+
+  async function getFollower(): Promise<string> {
+    const { leader } = await deployment.status();
+    return deployment.keeperIds.find((id) => id !== leader) ?? '';
+  }
+
+  function hasLogged(id: string, code: number): boolean {
+    return deployment.getProcess(id).output.some((line) => line.includes(`"code":${code}`));
+  }
+
+  it('lose one disk after the other, each right after the repair, and no ticket', async () => {
+    await applyTickets(80);
+    for (const id of [...deployment.keeperIds, ...deployment.keeperIds]) {
+      await deployment.getProcess(id).kill();
+      deployment.loseDisk(id);
+      deployment.restart(id);
+      await applyTickets(5);
+      await waitRepaired();
+    }
+    await checkHistory();
+  });
+
+  it('cut a torn record off and go on as voters', async () => {
+    const id = await getFollower();
+    await applyTickets(3);
+    await deployment.getProcess(id).kill();
+    const log = join(deployment.getDataFolder(id), 'keeper', 'log');
+    truncateSync(log, readFileSync(log).length - 3);
+    const storeId = readStoreId(id);
+    deployment.restart(id);
+    await applyTickets(3);
+    await waitRepaired();
+    await waitFor('the cut', () => hasLogged(id, 2005));
+    assert.equal(readStoreId(id), storeId);
+    await checkHistory();
+  });
+
+  it('set a damaged store aside and return as learners', async () => {
+    const id = await getFollower();
+    await applyTickets(3);
+    await deployment.getProcess(id).kill();
+    const log = join(deployment.getDataFolder(id), 'keeper', 'log');
+    const bytes = readFileSync(log);
+    bytes.writeUInt8((bytes.readUInt8(bytes.length - 2) + 1) % 256, bytes.length - 2);
+    writeFileSync(log, bytes);
+    const storeId = readStoreId(id);
+    deployment.restart(id);
+    await applyTickets(3);
+    await waitFor('the store to be set aside', () => hasLogged(id, 2006));
+    await waitRepaired();
+    assert.notEqual(readStoreId(id), storeId);
+    await checkHistory();
+  });
+
+  it('that are isolated silently answer nothing from their old state, and catch up', async () => {
+    const { leader } = await deployment.status();
+    const address = deployment.operatorAddresses[deployment.keeperIds.indexOf(leader)];
+    for (const proxy of deployment.listProxies(leader)) proxy.setFlow('drop', 'drop');
+    const isolatedAt = performance.now();
+    await waitFor('another leader', async () => (await deployment.status()).leader !== leader);
+    await applyTickets(3);
+    while (performance.now() - isolatedAt < 3_000) {
+      const response = await request(`http://${address}/v1/status`);
+      const text = await response.body.text();
+      const isCurrent = response.statusCode !== 200 || text.includes(`"number":${number}`);
+      assert.ok(isCurrent, `the isolated keeper answered ${text.slice(0, 200)}`);
+      await delay(50);
+    }
+    for (const proxy of deployment.listProxies(leader)) proxy.heal();
+    await applyTickets(3);
+    await waitRepaired();
+    await checkHistory();
+  });
+
+  it('that are all killed at once keep every accepted ticket', async () => {
+    await applyTickets(10);
+    await Promise.all(deployment.keeperIds.map((id) => deployment.getProcess(id).kill()));
+    for (const id of deployment.keeperIds) deployment.restart(id);
+    await applyTickets(1);
+    await checkHistory();
+  });
+});
--- a/test/faults/tickets.test.ts
+++ b/test/faults/tickets.test.ts
@@ -103,46 +103,75 @@
     assert.ok(elapsed <= IN_FORCE_LIMIT_MS, `${elapsed} ms`);
   });
 
-  it('are never acted against once in force, by an entry that was cut off silently', async () => {
-    await waitLeases();
-    const ids: { id: string; team: string }[] = [];
+  /** Calls of the team that go on until stopped; resolves with the ids of its requests. */
+  function startCalls(team: string, callers: number, tokens: number) {
+    const ids = new Set<string>();
     let isRunning = true;
-    const call = async () => {
+    const run = async () => {
       while (isRunning) {
-        const team = 'buyers';
-        const headers = { 'x-useful-ms': '1000' };
-        const answer = await askModel(deployment.entryUrl(0), createLabelBody('x'), {
-          team,
-          headers,
-        });
-        ids.push({ id: answer.requestId, team });
+        const headers = { 'x-useful-ms': '3000' };
+        const body = { ...createLabelBody(`x ${Math.random()}`), max_tokens: tokens };
+        const answer = await askModel(deployment.entryUrl(0), body, { team, headers });
+        ids.add(answer.requestId);
+        if (answer.status === 401) await delay(50);
       }
     };
-    const callers = [call(), call(), call()];
+    const running = Array.from({ length: callers }, run);
+    return async () => {
+      isRunning = false;
+      await Promise.all(running);
+      return ids;
+    };
+  }
+
+  function listArrivals(ids: ReadonlySet<string>) {
+    const records = ['engine-a', 'engine-b'].flatMap((id) => deployment.readRecords(id));
+    return records.filter(({ kind, id }) => kind === 'arrived' && ids.has(id));
+  }
+
+  it('are never acted against once in force, by requests that wait', async () => {
+    await waitLeases();
+    const stop = startCalls('weighers', 40, 60);
+    await delay(1_000);
+    await submit(0, { number: 410, remove: ['team/weighers'] });
+    await waitFor('in force', async () => (await show(410)).inForce);
+    const inForceAt = Date.now();
+    await delay(1_500);
+    const arrivals = listArrivals(await stop());
+    assert.ok(
+      arrivals.some(({ at }) => at < inForceAt),
+      'some had run before',
+    );
+    assert.deepEqual(
+      arrivals.filter(({ at }) => at > inForceAt),
+      [],
+    );
+  });
+
+  it('are never acted against once in force, by members that were cut off silently', async () => {
+    await waitLeases();
+    const stop = startCalls('buyers', 3, 4);
     await delay(500);
-    for (const keeper of deployment.keeperIds) {
-      deployment.getProxy('entry-0', keeper).setFlow('drop', 'drop');
-    }
+    const cut = deployment.keeperIds.flatMap((keeper) => [
+      deployment.getProxy('entry-0', keeper),
+      deployment.getProxy('engine-a', keeper),
+    ]);
+    for (const proxy of cut) proxy.setFlow('drop', 'drop');
     await submit(0, { number: 500, remove: ['team/buyers'] });
     await waitFor('in force', async () => (await show(500)).inForce);
     const inForceAt = Date.now();
     await delay(3_000);
-    for (const keeper of deployment.keeperIds) deployment.getProxy('entry-0', keeper).heal();
+    for (const proxy of cut) proxy.heal();
     await delay(1_000);
-    isRunning = false;
-    await Promise.all(callers);
-    const records = ['engine-a', 'engine-b'].flatMap((id) => deployment.readRecords(id));
-    const late = records.filter(
-      (record) =>
-        record.kind === 'arrived' &&
-        record.at > inForceAt &&
-        ids.some(({ id }) => id === record.id),
-    );
-    assert.deepEqual(late, []);
+    const arrivals = listArrivals(await stop());
     assert.ok(
-      records.some((record) => ids.some(({ id }) => id === record.id)),
+      arrivals.some(({ at }) => at < inForceAt),
       'some had run before',
     );
+    assert.deepEqual(
+      arrivals.filter(({ at }) => at > inForceAt),
+      [],
+    );
   });
 
   async function waitLeases(): Promise<void> {
