Send again what a keeper has lost after acknowledging it

Cause: a keeper whose last synced record was cut off (a disk that lies, or a test that truncates the log) rejects the leader's next entries with a lower index than it had acknowledged; the leader never went below what was acknowledged, so the two refused each other for good. With one other keeper being repaired at that time the cluster stood still. Ruled out: an election that finds no majority (the leader kept its lease and both voters answered), and the learner's promotion (it waits behind the same entries). Change: the leader takes the lower index as the truth and sends from there on. Status shows how far each keeper is behind.

--- a/src/cli/commands/operations.ts
+++ b/src/cli/commands/operations.ts
@@ -2,7 +2,13 @@
 
 import { callKeeper } from '../keeperClient.js';
 import { formatTable } from '../table.js';
-import type { Command, CommandContext, MemberDescription, StatusDescription } from '../types.js';
+import type {
+  Command,
+  CommandContext,
+  KeeperDescription,
+  MemberDescription,
+  StatusDescription,
+} from '../types.js';
 import { getOperand, report } from './ticket.js';
 
 /** Commands about the running deployment. */
@@ -60,9 +66,16 @@
   report(context, answer, `${id}: ${answer.draining ? 'draining' : 'takes work'}`);
 }
 
+function formatKeeper({ id, matchIndex }: KeeperDescription, commitIndex: number): string {
+  const lag = commitIndex - matchIndex;
+  return lag > 0 ? `${id} (${lag} entries behind)` : id;
+}
+
 function formatStatus(status: StatusDescription): string {
   const { keepers, newestTicket } = status;
-  const voters = keepers.voters.map(({ id }) => id).join(', ');
+  const voters = keepers.voters
+    .map((keeper) => formatKeeper(keeper, status.commitIndex))
+    .join(', ');
   const learners = keepers.learners.map(({ id }) => id).join(', ');
   const lines = [
     `leader ${status.leader}, term ${status.term}, committed ${status.commitIndex}`,
--- a/src/cli/types.ts
+++ b/src/cli/types.ts
@@ -56,6 +56,8 @@
   id: string;
   storeId: string;
   address: string;
+  /** Last log entry known to be on its disk. */
+  matchIndex: number;
 }
 
 /** Answer of `/v1/status`. */
--- a/src/keeper/leading.ts
+++ b/src/keeper/leading.ts
@@ -72,8 +72,9 @@
     if (core.role !== 'leader' || term !== core.term || peer === undefined) return;
     peer.contactAtMs = Math.max(peer.contactAtMs, response.sentAtMs);
     if (!response.accepted) {
-      const hinted = Math.min(peer.nextIndex, response.matchIndex + 1);
-      peer.nextIndex = Math.max(peer.matchIndex + 1, hinted);
+      // A store that lost its last records may be behind what it acknowledged before.
+      peer.matchIndex = Math.min(peer.matchIndex, response.matchIndex);
+      peer.nextIndex = Math.min(peer.nextIndex, response.matchIndex + 1);
       sendAppend(peer);
       return;
     }
--- a/src/keeper/operatorApi.ts
+++ b/src/keeper/operatorApi.ts
@@ -9,7 +9,7 @@
 import type { Logger } from '../common/logging.js';
 import { splitAddress, type KeeperProcessSettings } from '../common/settings.js';
 import { checkToml } from '../common/tomlFile.js';
-import type { Member } from '../generated/keeper.js';
+import type { Member, Replica } from '../generated/keeper.js';
 import type { Ticket } from '../generated/schemas.js';
 import { isTicket } from '../generated/validators.js';
 import type { RunningReplica } from './replica.js';
@@ -181,7 +181,7 @@
       term: raft.term,
       commitIndex: raft.commitIndex,
       appliedIndex,
-      keepers: raft.log.membership,
+      keepers: describeKeepers(replica),
       configRevision: things.configRevision,
       newestTicket: newestTicket === undefined ? undefined : describeTicket(newestTicket),
       claims: state.claims.size,
@@ -189,6 +189,16 @@
     };
   }
 
+  function describeKeepers({ raft }: RunningReplica): object {
+    const describe = (keeper: Replica) => {
+      const isSelf = keeper.id === host.settings.id;
+      const matchIndex = raft.getProgress(keeper.storeId)?.matchIndex ?? 0;
+      return { ...keeper, matchIndex: isSelf ? raft.log.lastIndex : matchIndex };
+    };
+    const { voters, learners } = raft.log.membership;
+    return { voters: voters.map(describe), learners: learners.map(describe) };
+  }
+
   function describeMember(member: Member): object {
     const { leases } = host.sessions;
     return {
--- a/test/faults/keepers.test.ts
+++ b/test/faults/keepers.test.ts
@@ -61,12 +61,13 @@
 
   async function waitRepaired(): Promise<void> {
     await waitFor('three voters that are up to date', async () => {
-      const { keepers } = await deployment.status();
-      const running = deployment.keeperIds.every((id) => deployment.getProcess(id).isRunning);
-      const stores = keepers.voters.map(({ id, storeId }) => readStoreId(id) === storeId);
-      return (
-        running && keepers.learners.length === 0 && stores.length === 3 && stores.every(Boolean)
+      const { keepers, commitIndex } = await deployment.status();
+      const isRunning = deployment.keeperIds.every((id) => deployment.getProcess(id).isRunning);
+      const isWhole = keepers.voters.length === 3 && keepers.learners.length === 0;
+      const isCurrent = keepers.voters.every(
+        ({ id, storeId, matchIndex }) => readStoreId(id) === storeId && matchIndex >= commitIndex,
       );
+      return isRunning && isWhole && isCurrent;
     });
   }
 
--- a/test/unit/keeper/raft.test.ts
+++ b/test/unit/keeper/raft.test.ts
@@ -151,6 +151,21 @@
     assert.equal(raft.commitIndex, 3);
   });
 
+  it('sends again what a replica has lost after acknowledging it', () => {
+    const raft = createNode();
+    elect(raft);
+    for (let count = 0; count < 5; count += 1) propose(raft);
+    persistAll(raft);
+    acknowledge(raft, b, raft.log.lastIndex, LONG_MS);
+    raft.takeReady();
+    const value = { accepted: false, matchIndex: 3, sentAtMs: LONG_MS };
+    raft.step(createMessage(b, raft.term, { $case: 'appendResponse', value }), LONG_MS);
+    const body = takeMessages(raft).at(-1)?.message.body;
+    assert.ok(body?.$case === 'appendRequest');
+    assert.equal(body.value.previousIndex, 3);
+    assert.equal(body.value.entries.length, raft.log.lastIndex - 3);
+  });
+
   it('holds its lease for less than the election timeout after a majority answered', () => {
     const raft = createNode();
     elect(raft);
