Give credit in large pieces and let later pieces of answers share messages

Change kept for its simpler flow control; and pieces after the first now wait up to 3 ms for others.

--- a/src/agent/answerStream.ts
+++ b/src/agent/answerStream.ts
@@ -13,8 +13,8 @@
   /** Bytes received from the endpoint so far. */
   readonly length: number;
   start(status: number, headers: { name: string; value: string }[]): void;
-  /** Resolves when more may be read from the endpoint. */
-  push(data: Buffer): Promise<void>;
+  /** False when no more may be read from the endpoint until `onRoom` is called. */
+  push(data: Buffer, onRoom: () => void): boolean;
   /** The last frame. */
   finish(body: AgentFrameBody): void;
   credit(bytes: number): void;
@@ -37,7 +37,7 @@
   let started: AgentFrameBody | undefined;
   let finished: AgentFrameBody | undefined;
   let isAbandoned = false;
-  let resume: (() => void) | undefined;
+  let waitingForRoom: (() => void) | undefined;
 
   return {
     get length() {
@@ -59,24 +59,29 @@
     attach,
     abandon() {
       isAbandoned = true;
-      resume?.();
+      tellRoom();
     },
   };
 
-  function push(data: Buffer): Promise<void> {
+  function push(data: Buffer, onRoom: () => void): boolean {
     send({ $case: 'chunk', value: { offset: length, data } });
     length += data.length;
     kept.push(data);
-    if (length < limit || isAbandoned) return Promise.resolve();
-    return new Promise((resolve) => {
-      resume = resolve;
-    });
+    if (length < limit || isAbandoned) return true;
+    waitingForRoom = onRoom;
+    return false;
+  }
+
+  function tellRoom(): void {
+    const tell = waitingForRoom;
+    waitingForRoom = undefined;
+    tell?.();
   }
 
   function credit(bytes: number): void {
     limit += bytes;
     dropUntil(keptFrom + bytes);
-    if (length < limit) resume?.();
+    if (length < limit) tellRoom();
   }
 
   function dropUntil(offset: number): void {
--- a/src/agent/connections.ts
+++ b/src/agent/connections.ts
@@ -151,7 +151,11 @@
   }
 
   function send(entryKey: string, requestId: string, body: AgentFrameBody): void {
-    links.get(entryKey)?.batch.push({ requestId, body });
+    const batch = links.get(entryKey)?.batch;
+    // The first piece of an answer is in a hurry; the pace of later ones leaves time to share.
+    const isLaterPiece = body.$case === 'chunk' && body.value.offset > 0;
+    if (isLaterPiece) batch?.pushPatiently({ requestId, body });
+    else batch?.push({ requestId, body });
   }
 
   function broadcastLoad(value: LoadReport): void {
--- a/src/agent/endpointClient.ts
+++ b/src/agent/endpointClient.ts
@@ -140,11 +140,28 @@
   };
 }
 
-/** The last bytes of a stream, as text. */
-export function keepTail(tail: Buffer, data: Buffer): Buffer {
-  if (data.length >= TAIL_BYTES) return data.subarray(data.length - TAIL_BYTES);
-  const joined = Buffer.concat([tail, data]);
-  return joined.length <= TAIL_BYTES ? joined : joined.subarray(joined.length - TAIL_BYTES);
+/** The last bytes of a stream. */
+export interface Tail {
+  push(data: Buffer): void;
+  /** The last bytes as text. */
+  read(): string;
+}
+
+/** Creates an empty tail; pieces are kept as they are and joined only when read. */
+export function createTail(): Tail {
+  const pieces: Buffer[] = [];
+  let length = 0;
+
+  return {
+    push(data) {
+      pieces.push(data);
+      length += data.length;
+      while (length - (pieces[0]?.length ?? 0) >= TAIL_BYTES) {
+        length -= pieces.shift()?.length ?? 0;
+      }
+    },
+    read: () => Buffer.concat(pieces).toString('utf8'),
+  };
 }
 
 function toAnswer(response: Dispatcher.ResponseData): EndpointAnswer {
--- a/src/agent/runner.ts
+++ b/src/agent/runner.ts
@@ -3,7 +3,7 @@
 import { delay } from '../common/delay.js';
 import type { AnswerStream } from './answerStream.js';
 import {
-  keepTail,
+  createTail,
   readUsage,
   type EndpointAnswer,
   type EndpointClient,
@@ -81,27 +81,36 @@
   return { kind: 'stopped', reason: job.stopReason ?? 'callerLeft' };
 }
 
-async function readAnswer(
+/** Forwards the body; events in place of an async iterator, which costs more for each piece. */
+function readAnswer(
   host: RunHost,
   job: Job,
   answer: EndpointAnswer,
   stream: AnswerStream,
 ): Promise<ReadResult> {
-  let tail: Buffer = Buffer.alloc(0);
-  try {
-    for await (const data of answer.body) {
+  const { body } = answer;
+  const tail = createTail();
+  const resume = () => {
+    body.resume();
+  };
+  return new Promise((resolve) => {
+    body.on('data', (data: Buffer) => {
       noteFirstByte(host, job);
       job.pieces += 1;
-      tail = keepTail(tail, data as Buffer);
-      await stream.push(data as Buffer);
-    }
-  } catch (caught) {
-    return { kind: 'cut', reason: (caught as { code?: string }).code ?? 'the body was cut off' };
-  }
-  const text = tail.toString('utf8');
-  const isWhole =
-    !answer.isEventStream || !host.isEngine || text.trimEnd().endsWith('data: [DONE]');
-  return isWhole ? { kind: 'ended', tail: text } : { kind: 'cut', reason: 'no end mark' };
+      tail.push(data);
+      if (!stream.push(data, resume)) body.pause();
+    });
+    body.on('end', () => {
+      const text = tail.read();
+      const hasMark = !answer.isEventStream || text.trimEnd().endsWith('data: [DONE]');
+      const isWhole = !host.isEngine || hasMark;
+      resolve(isWhole ? { kind: 'ended', tail: text } : { kind: 'cut', reason: 'no end mark' });
+    });
+    body.on('error', (error: Error & { code?: string }) => {
+      resolve({ kind: 'cut', reason: error.code ?? 'the body was cut off' });
+    });
+    body.on('close', () => resolve({ kind: 'cut', reason: 'the body was closed' }));
+  });
 }
 
 function noteFirstByte(host: RunHost, job: Job): void {
--- a/src/common/frameBatch.ts
+++ b/src/common/frameBatch.ts
@@ -1,27 +1,40 @@
-/** Collects frames and writes those of one turn of the event loop as one message. */
+/** Collects frames and writes several of them as one message. */
 
-/** A batch that is flushed once a turn. */
+/** How long a frame that is in no hurry waits for others; milliseconds. */
+const PATIENCE_MS = 3;
+
+/** A batch of frames on their way to one peer. */
 export interface FrameBatch<Frame> {
+  /** Adds a frame that goes out with this turn of the event loop, behind those added before. */
   push(frame: Frame): void;
+  /** Adds a frame that may wait a little, so that more frames share a message. */
+  pushPatiently(frame: Frame): void;
   flush(): void;
 }
 
 /** Creates a batch; `write` gets the frames in order. */
 export function createFrameBatch<Frame>(write: (frames: Frame[]) => void): FrameBatch<Frame> {
   let frames: Frame[] = [];
-  let isScheduled = false;
+  let immediate: NodeJS.Immediate | undefined;
+  let timer: NodeJS.Timeout | undefined;
 
-  return { push, flush };
+  return { push, pushPatiently, flush };
 
   function push(frame: Frame): void {
     frames.push(frame);
-    if (isScheduled) return;
-    isScheduled = true;
-    setImmediate(flush);
+    immediate ??= setImmediate(flush);
+  }
+
+  function pushPatiently(frame: Frame): void {
+    frames.push(frame);
+    if (immediate === undefined) timer ??= setTimeout(flush, PATIENCE_MS);
   }
 
   function flush(): void {
-    isScheduled = false;
+    clearImmediate(immediate);
+    clearTimeout(timer);
+    immediate = undefined;
+    timer = undefined;
     if (frames.length === 0) return;
     const batch = frames;
     frames = [];
--- a/src/entry/answerSinks.ts
+++ b/src/entry/answerSinks.ts
@@ -44,7 +44,7 @@
       return;
     }
     if (held === undefined) {
-      response.write(data, onTaken);
+      send(data, onTaken);
       return;
     }
     held.push(data);
@@ -55,7 +55,13 @@
     }
     const bytes = Buffer.concat(held);
     held = undefined;
-    response.write(bytes, onTaken);
+    send(bytes, onTaken);
+  }
+
+  /** Bytes count as taken once the connection's buffer is not full. */
+  function send(data: Buffer, onTaken: () => void): void {
+    if (response.write(data)) onTaken();
+    else response.once('drain', onTaken);
   }
 
   function end(requestEnd: RequestEnd): void {
--- a/src/entry/calls.ts
+++ b/src/entry/calls.ts
@@ -158,6 +158,7 @@
       placedAt: Number.NEGATIVE_INFINITY,
       grant: undefined,
       received: 0,
+      uncredited: 0,
       lostAt: undefined,
       alone,
       traceparent: trace.agentTraceparent,
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -17,6 +17,8 @@
 
 /** How long an entry looks for an agent that went away with a request; milliseconds. */
 const LOST_LIMIT_MS = 8_000;
+/** Bytes taken by the caller after which the agent gets credit for them. */
+const CREDIT_BYTES = 64 * 1024;
 /** How long an agent that refused a request is not asked again; milliseconds. */
 const AVOID_MS = 250;
 
@@ -237,10 +239,16 @@
     if (skipped >= chunk.data.length) return;
     const data = chunk.data.subarray(skipped);
     request.received += data.length;
-    request.sink.write(data, () => {
-      const credit = { $case: 'credit' as const, value: { bytes: data.length } };
-      if (request.state !== 'ended') links.send(link.id, request.id, credit);
-    });
+    request.sink.write(data, () => giveCredit(request, link, data.length));
+  }
+
+  /** Credit is given in large pieces, so that it costs little for each event of a stream. */
+  function giveCredit(request: PendingRequest, link: AgentLink, bytes: number): void {
+    request.uncredited += bytes;
+    if (request.state === 'ended' || request.uncredited < CREDIT_BYTES) return;
+    const value = { bytes: request.uncredited };
+    request.uncredited = 0;
+    links.send(link.id, request.id, { $case: 'credit', value });
   }
 
   function reattach(request: PendingRequest, link: AgentLink): void {
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -62,6 +62,8 @@
   grant: Grant | undefined;
   /** Bytes of the answer received in order. */
   received: number;
+  /** Bytes that the caller has taken and the agent has no credit for yet. */
+  uncredited: number;
   /** Entry's clock when the dispatch's connection was lost. */
   lostAt: number | undefined;
   readonly alone: boolean;
