Wait for a warm cache while busy, and give up what cannot end in time; split large files

A request is now shed when the fastest endpoint could not end it in time, and one with a long prompt is offered to agents with a cold cache only when they have room or a fifth of its useful time has passed.

--- a/bench/simulatedMembers.ts
+++ b/bench/simulatedMembers.ts
@@ -5,6 +5,7 @@
 import { createKeeperSession, type KeeperSession } from '../src/common/keeperSession.js';
 import { createPeerMetadata } from '../src/common/rpc.js';
 import { AgentService, type AgentFrames, type AgentServer } from '../src/generated/dispatch.js';
+import type { Member } from '../src/generated/keeper.js';
 import type { Settings } from '../src/generated/schemas.js';
 import { getFreePort } from '../test/fixtures/ports.js';
 
@@ -16,42 +17,51 @@
   stop(): Promise<void>;
 }
 
+/** A member that belongs to the pool of the models. */
+export function createMember(id: string, role: 'entry' | 'agent', address: string): Member {
+  return {
+    id,
+    incarnation: '1',
+    role,
+    address,
+    failureDomain: 'local',
+    pool: role === 'agent' ? 'kernel-lm' : '',
+    endpointKind: role === 'agent' ? 'engine' : '',
+    draining: false,
+    fencingToken: 0,
+    endpoint: role === 'agent' ? `http://${id}` : '',
+  };
+}
+
+/** Opens a session that does nothing with what it is told. */
+export function openSession(settings: Settings, member: Member): KeeperSession {
+  const host = {
+    clock: new SystemClock(),
+    logger: { event: () => {} },
+    deployment: settings.deployment,
+    keepers: settings.keepers,
+    resolve: (target: string) => target,
+    metadata: createPeerMetadata(settings),
+    onChange: () => {},
+    onLease: () => {},
+    onDrain: () => {},
+  };
+  return createKeeperSession(host, member);
+}
+
 /** Joins `count` agents that answer entries with load reports and serve nothing. */
 export async function joinAgents(
   settings: Settings,
   prefix: string,
   count: number,
 ): Promise<SimulatedMembers> {
-  const clock = new SystemClock();
   const sessions: KeeperSession[] = [];
   const servers: Server[] = [];
   for (let index = 0; index < count; index += 1) {
     const address = `127.0.0.1:${await getFreePort()}`;
     servers.push(await startAgentServer(address, `${prefix}-${index}`));
-    const member = {
-      id: `${prefix}-${index}`,
-      incarnation: '1',
-      role: 'agent',
-      address,
-      failureDomain: 'local',
-      pool: 'kernel-lm',
-      endpointKind: 'engine',
-      draining: false,
-      fencingToken: 0,
-      endpoint: `http://${prefix}-${index}`,
-    };
-    const host = {
-      clock,
-      logger: { event: () => {} },
-      deployment: settings.deployment,
-      keepers: settings.keepers,
-      resolve: (target: string) => target,
-      metadata: createPeerMetadata(settings),
-      onChange: () => {},
-      onLease: () => {},
-      onDrain: () => {},
-    };
-    sessions.push(createKeeperSession(host, member));
+    const member = createMember(`${prefix}-${index}`, 'agent', address);
+    sessions.push(openSession(settings, member));
   }
   return {
     sessions,
--- a/src/agent/connections.ts
+++ b/src/agent/connections.ts
@@ -15,7 +15,7 @@
   Hello,
   LoadReport,
 } from '../generated/dispatch.js';
-import type { Scheduler } from './scheduler.js';
+import type { Scheduler } from './schedulerTypes.js';
 import type { AgentFrameBody } from './types.js';
 
 /** How long requests of an entry without a connection go on; milliseconds. */
--- a/src/agent/scheduler.ts
+++ b/src/agent/scheduler.ts
@@ -5,96 +5,28 @@
 
 import { randomUUID } from 'node:crypto';
 import PQueue from 'p-queue';
+import { createFinished } from './finished.js';
+import type { Scheduler, SchedulerHost } from './schedulerTypes.js';
 import { delay } from '../common/delay.js';
-import type { Clock } from '../common/clock.js';
-import type { Logger } from '../common/logging.js';
-import type { Measures } from '../common/measures.js';
-import type { Dispatch, Finished, Reserve } from '../generated/dispatch.js';
+import type { Dispatch, Reserve } from '../generated/dispatch.js';
 import { createAnswerStream, type AnswerStream } from './answerStream.js';
-import type { Fairness } from './fairness.js';
-import { createFloor, type Floor } from './floor.js';
+import { createFloor } from './floor.js';
 import { createGrantLedger } from './grantLedger.js';
 import { createJob } from './job.js';
 import { chooseVictims, getWaste, isUrgent } from './preemption.js';
 import { awaitsPrefix } from './prefixHold.js';
-import type { Prefixes } from './prefixes.js';
 import { createReservationQueue, type JobOptions } from './reservationQueue.js';
-import type { Room } from './room.js';
-import { runJob, type RunnerHost } from './runner.js';
-import type { SpeedGauge } from './speed.js';
-import type {
-  AgentFrameBody,
-  FrameSender,
-  Job,
-  RunOutcome,
-  RunStart,
-  Speeds,
-  StopReason,
-} from './types.js';
+import { runJob } from './runner.js';
+import type { AgentFrameBody, Job, RunOutcome, RunStart, StopReason } from './types.js';
 
 /** A grant that was not used by then is void; milliseconds. */
 const GRANT_VALID_MS = 1_500;
 /** How long an answer is kept for an entry that lost its connection; milliseconds. */
 const ATTACH_MS = 15_000;
 const SWEEP_MS = 50;
-/** Waiting reservations of all entries; beyond it reservations of the lowest order are refused. */
+/** Waiting reservations of all entries; beyond it entries have to try again. */
 const MAX_WAITING = 4_000;
 
-/** What the scheduler needs from outside. */
-export interface SchedulerHost extends RunnerHost {
-  clock: Clock;
-  logger: Logger;
-  measures: Measures;
-  frames: FrameSender;
-  incarnation: string;
-  room: Room;
-  gauge: SpeedGauge;
-  fairness: Fairness;
-  prefixes: Prefixes;
-  speeds: Speeds | undefined;
-  slots: number;
-  /** Mechanisms that are left out, for measurement. */
-  without: ReadonlySet<string>;
-  hasLease(): boolean;
-  /** Newest revision of the configuration that is known to be committed. */
-  getConfigRevision(): number;
-  isEndpointReady(): boolean;
-  isSuspect(digest: string): boolean;
-  /** A run failed in a way that may mean that the endpoint crashed; resolves when that is settled. */
-  onRunFailed(job: Job): Promise<void>;
-}
-
-/** The agent's requests. */
-export interface Scheduler {
-  readonly floor: Floor;
-  readonly running: number;
-  readonly waiting: number;
-  reserve(entryKey: string, requestId: string, reserve: Reserve): void;
-  withdraw(requestId: string): void;
-  dispatch(entryKey: string, requestId: string, dispatch: Dispatch): void;
-  /** Voids a grant that has not started and tells which. */
-  reportStatus(entryKey: string, requestId: string, grantId: string): void;
-  cancel(requestId: string): void;
-  credit(requestId: string, bytes: number): void;
-  attach(entryKey: string, requestId: string, offset: number): void;
-  raiseFloor(tierRank: number, validMs: number): number;
-  setDraining(draining: boolean): void;
-  /** The entry's connection is lost: its waiting reservations end. */
-  detachEntry(entryKey: string): void;
-  /** The entry is gone for good: its running requests end, but for calls that may not be repeated. */
-  releaseEntry(entryKey: string): void;
-  /** Stops running requests whose content has become suspect elsewhere. */
-  stopSuspects(): void;
-  /** The endpoint is silent for good: what runs there is cut. */
-  giveUpRuns(): void;
-  /** Looks again for what may be granted. */
-  kick(): void;
-  listRunning(): Job[];
-  /** Resolves when nothing is granted or running any more. */
-  drained(): Promise<void>;
-  stop(): void;
-}
-
 interface Run {
   job: Job;
   stream: AnswerStream;
@@ -249,19 +181,8 @@
     send: (body: AgentFrameBody) => void,
     length: number,
   ): void {
-    const usage = outcome.kind === 'complete' ? outcome.usage : undefined;
-    const isWasted = outcome.kind === 'stopped' || outcome.kind === 'cut';
-    const value: Finished = {
-      outcome: toFinishedOutcome(outcome),
-      length,
-      promptTokens: usage?.promptTokens ?? 0,
-      cachedTokens: usage?.cachedTokens ?? 0,
-      outputTokens: usage?.outputTokens ?? 0,
-      span: job.span,
-      detail: outcome.kind === 'complete' ? '' : outcome.reason,
-      wastedTokens: isWasted ? Math.round(getWaste(job, host.speeds, clock.now())) : 0,
-    };
-    send({ $case: 'finished', value });
+    const wasted = getWaste(job, host.speeds, clock.now());
+    send({ $case: 'finished', value: createFinished(job, outcome, length, wasted) });
   }
 
   function endJob(job: Job): void {
@@ -433,16 +354,3 @@
     host.logger.event('drainDone', {});
   }
 }
-
-function toFinishedOutcome(outcome: RunOutcome): string {
-  switch (outcome.kind) {
-    case 'complete':
-      return 'complete';
-    case 'notRun':
-      return 'not_run';
-    case 'cut':
-      return 'cut';
-    default:
-      return outcome.reason === 'callerLeft' ? 'cancelled' : outcome.reason;
-  }
-}
--- a/src/daemon/entryProcess.ts
+++ b/src/daemon/entryProcess.ts
@@ -7,6 +7,7 @@
 import { createDirectory } from '../entry/directory.js';
 import { createDispatcher, type Dispatcher } from '../entry/dispatcher.js';
 import { createFloors } from '../entry/floors.js';
+import { estimateRunMs } from '../entry/reservations.js';
 import { createShedding } from '../entry/shedding.js';
 import type { Clock } from '../common/clock.js';
 import { delay } from '../common/delay.js';
@@ -96,6 +97,7 @@
     countWaiting: () => running.waitingCount,
     getLowestRank: () => directory.lowestRank,
     knowsTiers: policy.knowsTiers,
+    estimateRunMs: (request) => estimateRunMs(request, directory, links),
     shed: (request, problem) => running.shed(request, problem),
   });
   const calls = createCalls({
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -4,6 +4,8 @@
  * agent returns it to waiting.
  */
 
+import { createLoss, toAnswerEnd, toProblem } from './answerEnd.js';
+import { createReserve, listCandidates } from './reservations.js';
 import type { Clock } from '../common/clock.js';
 import { assertNever } from '../common/debug.js';
 import type { Logger } from '../common/logging.js';
@@ -12,7 +14,7 @@
 import type { Directory } from './directory.js';
 import type { Floors } from './floors.js';
 import type { PlacementPolicy } from './placement.js';
-import { createRefusal, type Outcome, type Problem, type ProblemKind } from './problem.js';
+import { createRefusal, type Problem } from './problem.js';
 import type { AnswerEnd, PendingRequest } from './types.js';
 
 /** How long an entry looks for an agent that went away with a request; milliseconds. */
@@ -88,45 +90,17 @@
   function place(request: PendingRequest): void {
     if (!host.hasLease()) return;
     const now = clock.now();
-    const candidates = listCandidates(request, now);
+    const candidates = listCandidates(request, host.getDirectory(), links, now);
     const chosen = host.policy.choose(request, candidates, now);
     if (chosen.length === 0) return;
     request.placedAt = now;
     for (const link of chosen) reserve(request, link, now);
   }
 
-  function listCandidates(request: PendingRequest, now: number): AgentLink[] {
-    const candidates: AgentLink[] = [];
-    for (const member of host.getDirectory().listAgents(request.pool)) {
-      const link = links.tryGet(member.id);
-      if (link === undefined || !link.isOpen || member.draining) continue;
-      if (link.incarnation !== member.incarnation || link.load?.slots === 0) continue;
-      if (request.reservations.has(link.id)) continue;
-      if ((request.avoidUntil.get(link.id) ?? 0) > now) continue;
-      candidates.push(link);
-    }
-    return candidates;
-  }
-
   function reserve(request: PendingRequest, link: AgentLink, now: number): void {
-    const { team, tier } = request;
     request.reservations.add(link.id);
     link.reserved += 1;
-    const { knowsTiers } = host.policy;
-    const value = {
-      tierRank: knowsTiers ? tier.rank : 0,
-      team: knowsTiers ? team.name : '',
-      shedOrder: team.shedOrder ?? 0,
-      weight: knowsTiers ? (team.weight ?? 1) : 1,
-      promptTokens: request.promptTokens,
-      outputTokens: request.outputTokens,
-      usefulMs: Math.max(0, Math.round(request.usefulUntil - now)),
-      idempotent: request.idempotent,
-      prefixHash: request.prefixHash,
-      digest: request.digest,
-      revision: host.getRevision(),
-      alone: request.alone,
-    };
+    const value = createReserve(request, host.policy.knowsTiers, host.getRevision(), now);
     links.send(link.id, request.id, { $case: 'reserve', value });
   }
 
@@ -416,30 +390,3 @@
     request.sink.end({ kind: 'failed', problem, end });
   }
 }
-
-function toProblem(request: PendingRequest, finished: Finished): Problem {
-  if (finished.outcome === 'preempted') {
-    return { kind: 'preempted', outcome: 'ran', detail: 'a higher tier needed the room' };
-  }
-  return createLoss(request, 'cut', finished.detail);
-}
-
-/** What ran in part did run; without any answer it cannot be known. */
-function createLoss(request: PendingRequest, kind: ProblemKind, detail: string): Problem {
-  const outcome: Outcome = request.state === 'streaming' ? 'ran' : 'unknown';
-  return { kind, outcome, detail };
-}
-
-function toAnswerEnd(agentId: string, finished: Finished): AnswerEnd {
-  const { promptTokens, cachedTokens, outputTokens, wastedTokens, span } = finished;
-  return {
-    agentId,
-    promptTokens,
-    cachedTokens,
-    outputTokens,
-    wastedTokens,
-    grantedUs: span?.grantedUs ?? 0,
-    firstByteUs: span?.firstByteUs ?? 0,
-    endedUs: span?.endedUs ?? 0,
-  };
-}
--- a/src/entry/placement.ts
+++ b/src/entry/placement.ts
@@ -12,6 +12,8 @@
 /** Reservations wait for the preferred agent at most for this share of the prompt's prefill time. */
 const AFFINITY_PATIENCE = 0.5;
 const FIRST_RESERVATIONS = 2;
+/** Share of the useful time for which a request waits for busy agents with a warm cache only. */
+const LOYALTY = 0.2;
 const MAX_RESERVATIONS = 12;
 
 export type PolicyName = 'grants' | 'roundRobin' | 'leastLoad' | 'firstCome';
@@ -59,16 +61,21 @@
       const preferred = this.tryGetPreferred(request, candidates);
       return preferred === undefined ? chooseLightest(candidates, FIRST_RESERVATIONS) : [preferred];
     }
-    if (now - request.placedAt < this.getPatience(request, candidates)) return [];
-    return chooseLightest(candidates, held);
+    const waitedMs = now - request.placedAt;
+    if (waitedMs < this.getPatience(request, candidates)) return [];
+    if (!this.hasAffinity(request)) return chooseLightest(candidates, held);
+    // A cold agent is worth its prefill only when it has room now, or when time runs short.
+    const idle = candidates.filter(hasRoom);
+    if (idle.length > 0) return chooseLightest(idle, held);
+    const usefulMs = request.usefulUntil - request.arrivedAt;
+    return waitedMs < LOYALTY * usefulMs ? [] : chooseLightest(candidates, held);
   }
 
   private tryGetPreferred(
     request: PendingRequest,
     candidates: readonly AgentLink[],
   ): AgentLink | undefined {
-    if (this.without.has('affinity')) return undefined;
-    if (request.promptTokens < AFFINITY_TOKENS || request.prefixHash === '') return undefined;
+    if (!this.hasAffinity(request)) return undefined;
     const ordered = candidates.toSorted(
       (left, right) =>
         getAffinity(request.prefixHash, right.id) - getAffinity(request.prefixHash, left.id),
@@ -78,6 +85,11 @@
     return ordered.find((link) => getLoad(link) <= LOAD_BOUND * mean + 1);
   }
 
+  private hasAffinity(request: PendingRequest): boolean {
+    if (this.without.has('affinity') || request.prefixHash === '') return false;
+    return request.promptTokens >= AFFINITY_TOKENS;
+  }
+
   private getPatience(request: PendingRequest, candidates: readonly AgentLink[]): number {
     const speed = Math.max(0, ...candidates.map((link) => link.prefillSpeed));
     if (speed === 0 || request.promptTokens < AFFINITY_TOKENS) return BROADEN_MS;
@@ -138,6 +150,11 @@
   return Math.max(reported, own) / Math.max(1, link.load?.slots ?? 1);
 }
 
+function hasRoom(link: AgentLink): boolean {
+  const { load } = link;
+  return load !== undefined && load.waiting === 0 && load.running < load.slots;
+}
+
 function getReportedLoad(link: AgentLink): number {
   return (link.load?.running ?? 0) + (link.load?.waiting ?? 0);
 }
--- a/src/entry/shedding.ts
+++ b/src/entry/shedding.ts
@@ -8,6 +8,8 @@
 /** Share of the useful time before its end in which lower tiers are asked to give way. */
 const FLOOR_LEAD_SHARE = 0.1;
 const FLOOR_LEAD_MIN_MS = 100;
+/** A request is not given up before this share of its useful time is left. */
+const MAX_RUN_SHARE = 0.8;
 
 /** What shedding needs from outside. */
 export interface SheddingHost {
@@ -21,6 +23,8 @@
   /** Whether tiers count at all; baselines of measurements know none. */
   knowsTiers: boolean;
   shed(request: PendingRequest, problem: Problem): void;
+  /** Time that the fastest endpoint would take; milliseconds. */
+  estimateRunMs(request: PendingRequest): number;
 }
 
 /** Sheds what has to be shed. */
@@ -41,7 +45,8 @@
   function shedLate(): void {
     const now = host.clock.now();
     for (const request of host.listWaiting()) {
-      const leftMs = request.usefulUntil - now;
+      // Whatever starts later than that would end too late to be of use.
+      const leftMs = request.usefulUntil - now - getRunMs(request);
       if (leftMs > getFloorLead(request)) continue;
       const mayShed = isSheddable(request);
       if (leftMs <= 0 && mayShed) {
@@ -63,6 +68,11 @@
     }
   }
 
+  function getRunMs(request: PendingRequest): number {
+    const usefulMs = request.usefulUntil - request.arrivedAt;
+    return Math.min(host.estimateRunMs(request), MAX_RUN_SHARE * usefulMs);
+  }
+
   /** Whether nothing of a lower tier is served; asks for that where it is not yet so. */
   function isSheddable(request: PendingRequest): boolean {
     const { rank } = request.tier;
