Order waiting requests by what their callers still get; give up sends that hang

Long requests on slow engines ran into their deadline. Change: a request that can no longer meet its objective yields to those that can, within its team's rank; short requests go first; what would wait longer than 1.2 s is refused at once. A caller that states less time than others of its route has waited before and counts as late. Long requests prefer engines with short pauses. Sends to endpoints that went dark are given up where the request may go on elsewhere. Requests that were there at three crashes are sent no more.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -13,10 +13,12 @@
 import type { TableDocument } from '../generated/keeper.js';
 import type { CallSummary } from '../gateway/callRun.js';
 import { startCallServer } from '../gateway/callServer.js';
+import { createCrashSuspects } from '../gateway/crashSuspects.js';
 import { createEndpointBook } from '../gateway/endpointBook.js';
 import { createQuotas } from '../gateway/quotas.js';
 import { createRetryBudget } from '../gateway/retryBudget.js';
 import { createScheduler } from '../gateway/scheduler.js';
+import { createStallWatch } from '../gateway/stallWatch.js';
 import { createTableView } from '../gateway/tableView.js';
 import type { Dialect } from '../gateway/types.js';
 import type { CallerLimits, RoutingTable } from '../routing/types.js';
@@ -74,6 +76,8 @@
     now,
     () => quotas.gatewayCount,
   );
+  const stalls = createStallWatch(now);
+  const suspects = createCrashSuspects(now);
   const scheduler = createScheduler({
     now,
     random: Math.random,
@@ -103,6 +107,7 @@
       for (const report of reports) {
         book.receive(report);
         quotas.receive(report);
+        suspects.receive(report);
       }
       scheduler.review();
     },
@@ -116,7 +121,17 @@
     tryGetIndex: () => view.index,
     tryGetLimits: () => limits,
     quotas,
-    runs: { clock, logger, dialect, scheduler, book, budget, onEnd: noteEnd },
+    runs: {
+      clock,
+      logger,
+      dialect,
+      scheduler,
+      book,
+      budget,
+      stalls,
+      suspects,
+      onEnd: noteEnd,
+    },
     isStopping: () => stoppingSince !== undefined,
     getRemainingMs,
     onRefused: (status) => measures.count('gatewayRefusals', 1, { status: String(status) }),
@@ -163,7 +178,7 @@
       incarnation,
       loads: book.listLoads(),
       uses: quotas.listUse(),
-      crashes: [],
+      crashes: suspects.listCounts(),
       waiting: scheduler.waitingCount,
     };
   }
@@ -207,6 +222,7 @@
     }
     feed.close();
     scheduler.close();
+    stalls.close();
     void server.close();
     void closeServer(readiness.server);
     book.close();
--- a/src/gateway/callRun.ts
+++ b/src/gateway/callRun.ts
@@ -6,16 +6,19 @@
 import type { Endpoint, EndpointBook } from './endpointBook.js';
 import type { Sending } from './endpointClient.js';
 import { createEventSplitter } from './eventSplitter.js';
+import { getDigest, type CrashSuspects } from './crashSuspects.js';
 import type { RetryBudget } from './retryBudget.js';
 import { decideNextStep, giveUp, type NextStep } from './retryPolicy.js';
 import type { PlaceRequest, RefusalReason, Scheduler } from './scheduler.js';
+import type { StallWatch, WatchedSend } from './stallWatch.js';
 import type { AnswerHead, Call, Dialect, SendFailure } from './types.js';
 
 /** Larger answers are passed on as they arrive, and are not repeated once they have begun. */
 const MAX_WHOLE_ANSWER_BYTES = 256 * 1024;
 /** Part of the time a caller waits that a request may spend waiting for a place. */
 const PATIENCE_SHARE = 0.35;
-const MAX_RANK = 1_000;
+/** Part of an objective that may pass before a request has a place. */
+const ON_TIME_SHARE = 0.6;
 
 /** What a run needs from outside. */
 export interface CallRunHost {
@@ -25,6 +28,8 @@
   scheduler: Scheduler;
   book: EndpointBook;
   budget: RetryBudget;
+  stalls: StallWatch;
+  suspects: CrashSuspects;
   /** Takes note of how the call ended. */
   onEnd(summary: CallSummary): void;
 }
@@ -56,6 +61,11 @@
   sending: Sending | undefined;
   head: AnswerHead | undefined;
   chunks: Buffer[];
+  /** Pieces of a stream so far, and when the first came. */
+  pieces: number;
+  firstAt: number;
+  lastAt: number | undefined;
+  watched: WatchedSend | undefined;
   bytes: number;
   /** Whether the endpoint's events follow those of an earlier one. */
   isContinuation: boolean;
@@ -77,7 +87,10 @@
   let firstMs = 0;
   const place: PlaceRequest = {
     pool: call.pool,
-    rank: (call.team?.rank ?? 0) * MAX_RANK + route.rank,
+    teamRank: call.team?.rank ?? 0,
+    routeRank: route.rank,
+    relativeWork: call.relativeWork,
+    onTimeMs: route.objectiveMs * ON_TIME_SHARE - call.waitedMs,
     patienceMs: (call.deadline - call.arrivedAt) * PATIENCE_SHARE,
     excluded,
     onPlaced: send,
@@ -98,6 +111,11 @@
       releasePlace(endpoint);
       return;
     }
+    if (host.suspects.size > 0 && host.suspects.isSuspect(getDigest(call))) {
+      releasePlace(endpoint);
+      endInFailure('has crashed several endpoints');
+      return;
+    }
     const now = clock.now();
     if (sendCount === 0) placedMs = now - call.arrivedAt;
     sendCount += 1;
@@ -109,10 +127,15 @@
       sending: undefined,
       head: undefined,
       chunks: [],
+      pieces: 0,
+      firstAt: 0,
+      lastAt: undefined,
+      watched: undefined,
       bytes: 0,
       isContinuation: writer.hasBegun,
     };
     current = started;
+    watch(started, now);
     const headers = dialect.toEndpointHeaders(callHead, {
       endpointId: lastEndpoint,
       team: call.team?.name,
@@ -132,6 +155,17 @@
     );
   }
 
+  function watch(send_: Send, sentAt: number): void {
+    send_.watched = {
+      route,
+      sentAt,
+      getPieceAt: () => send_.lastAt,
+      getEndpointHeardAt: () => send_.endpoint.heardAt,
+      onStalled: (reason) => failSend(send_, { kind: 'unknown', reason }),
+    };
+    host.stalls.add(send_.watched);
+  }
+
   function handleHead(send_: Send, status: number, rawHeaders: readonly Buffer[]): void {
     const head = dialect.readAnswer(status, rawHeaders);
     const { endpoint } = send_;
@@ -153,7 +187,8 @@
 
   function handleData(send_: Send, chunk: Buffer): boolean {
     const { head } = send_;
-    send_.endpoint.heardAt = clock.now();
+    send_.lastAt = clock.now();
+    send_.endpoint.heardAt = send_.lastAt;
     if (head === undefined) return true;
     const isSuccess = head.status >= 200 && head.status < 300;
     if (isStream && isSuccess) return passOn(send_, head, chunk);
@@ -167,6 +202,8 @@
   }
 
   function passOn(send_: Send, head: AnswerHead, chunk: Buffer): boolean {
+    if (send_.pieces === 0) send_.firstAt = send_.lastAt ?? clock.now();
+    send_.pieces += 1;
     const bytes = splitter === undefined ? chunk : splitter.push(chunk);
     if (bytes === undefined) return true;
     if (!writer.hasBegun) beginAnswer(head);
@@ -192,6 +229,7 @@
     if (isFailure && shouldRepeat(send_, head)) return;
     if (isFailure) send_.endpoint.health.noteFailedAnswer(clock.now());
     else send_.endpoint.health.noteSuccess();
+    if (send_.pieces > 0) send_.endpoint.pace.note(send_.pieces, clock.now() - send_.firstAt);
     if (writer.hasBegun && head.status >= 300) {
       // A continuation was answered with a failure: what the caller has is not whole.
       abandon(send_, 'failed', 0, `continuation answered ${head.status}`);
@@ -219,8 +257,16 @@
   }
 
   function handleBroken(send_: Send, wasSent: boolean, reason: string): void {
-    if (!wasSent) failSend(send_, { kind: 'notSent', reason });
-    else failSend(send_, { kind: 'unknown', reason });
+    if (!wasSent) {
+      failSend(send_, { kind: 'notSent', reason });
+      return;
+    }
+    const { suspects } = host;
+    const digest = getDigest(call);
+    void send_.endpoint.client.isReachable().then((isReachable) => {
+      if (!isReachable) suspects.note(digest);
+    });
+    failSend(send_, { kind: 'unknown', reason });
   }
 
   function failSend(send_: Send, failure: SendFailure, decided?: NextStep): void {
@@ -255,7 +301,9 @@
   }
 
   function sendAgain(): void {
-    place.patienceMs = (call.deadline - clock.now()) * PATIENCE_SHARE;
+    const now = clock.now();
+    place.patienceMs = (call.deadline - now) * PATIENCE_SHARE;
+    place.onTimeMs = route.objectiveMs * ON_TIME_SHARE - call.waitedMs - (now - call.arrivedAt);
     scheduler.submit(place);
   }
 
@@ -308,6 +356,7 @@
   function endSend(send_: Send): void {
     if (current !== send_) return;
     current = undefined;
+    if (send_.watched !== undefined) host.stalls.remove(send_.watched);
     releasePlace(send_.endpoint);
   }
 
--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -13,6 +13,7 @@
 import { startCallRun, type CallRun, type CallRunHost } from './callRun.js';
 import type { Quotas } from './quotas.js';
 import type { Call, CallHead, Dialect } from './types.js';
+import { createWorkEstimate, getWork } from './workEstimate.js';
 
 const CONNECTION_CHECK_MS = 1_000;
 /** Above what any table allows, which is checked once a request is read. */
@@ -55,6 +56,7 @@
 /** Starts the server. */
 export async function startCallServer(host: CallServerHost): Promise<CallServer> {
   const { clock, logger, dialect } = host;
+  const estimate = createWorkEstimate();
   let openCount = 0;
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
@@ -142,6 +144,8 @@
       team,
       revision: index?.table.revision ?? 0,
       body: body.length > 0 ? body : undefined,
+      relativeWork: estimate.noteWork(pool, getWork(head)),
+      waitedMs: estimate.getWaitedMs(route, head.waitMs),
       arrivedAt,
       deadline: arrivedAt + waitMs,
     };
--- a/src/gateway/endpointBook.ts
+++ b/src/gateway/endpointBook.ts
@@ -4,6 +4,7 @@
 import type { Registry } from '../registry/registry.js';
 import { createEndpointClient, type EndpointClient } from './endpointClient.js';
 import { createEndpointHealth, type EndpointHealth } from './endpointHealth.js';
+import { createEndpointPace, type EndpointPace } from './endpointPace.js';
 import type { EndpointReport } from './types.js';
 
 /** Age after which what another gateway reported no longer counts. */
@@ -16,6 +17,7 @@
   readonly announcement: Announcement;
   readonly client: EndpointClient;
   readonly health: EndpointHealth;
+  readonly pace: EndpointPace;
   /** Requests of this gateway that run there. */
   running: number;
   /** Newest time at which any byte came from there. */
@@ -78,6 +80,7 @@
       announcement,
       client: createEndpointClient(announcement.address),
       health: createEndpointHealth(),
+      pace: createEndpointPace(),
       running: 0,
       heardAt: host.now(),
       stated: undefined,
--- a/src/gateway/endpointClient.ts
+++ b/src/gateway/endpointClient.ts
@@ -40,6 +40,8 @@
 /** A client of one endpoint. */
 export interface EndpointClient {
   send(request: EndpointRequest, events: SendEvents): Sending;
+  /** Whether the endpoint accepts a connection; nothing is sent on it. */
+  isReachable(): Promise<boolean>;
   close(): void;
 }
 
@@ -56,7 +58,7 @@
   // The one used last is at the end, so that the others can run into their idle timeout.
   const idle: Connection[] = [];
 
-  return { send, close };
+  return { send, isReachable, close };
 
   function createConnection(): Connection {
     const connection: Connection = { client: createClient(openSocket), hasFailed: false };
@@ -146,6 +148,21 @@
     };
   }
 
+  function isReachable(): Promise<boolean> {
+    return new Promise((resolve) => {
+      const { host, port } = splitAddress(address);
+      const socket = connectSocket({ host, port });
+      const end = (isOpen: boolean) => (): void => {
+        clearTimeout(timer);
+        socket.destroy();
+        resolve(isOpen);
+      };
+      const timer = setTimeout(end(false), CONNECT_TIMEOUT_MS);
+      socket.once('connect', end(true));
+      socket.once('error', end(false));
+    });
+  }
+
   function close(): void {
     for (const { client } of connections) {
       client.destroy().catch(() => {
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -1,10 +1,12 @@
 /**
  * Requests wait here, in order, until an endpoint has room; little waits inside endpoints, which
- * know no priorities. A request that would wait too long is refused at once, the least urgent first.
+ * know no priorities. A request that can no longer meet its objective yields to those that can.
+ * One that would wait too long even so is refused at once, the least urgent first.
  */
 
 import type { Endpoint, EndpointBook } from './endpointBook.js';
 import { tryChooseEndpoint, type Candidate } from './placement.js';
+import { getRank } from './urgency.js';
 import { createWaitingQueue, type Waiting, type WaitingQueue } from './waitingQueue.js';
 
 const REVIEW_MS = 50;
@@ -13,10 +15,20 @@
 /** Requests beyond its slots that a plain service may hold, since its work is short. */
 const SERVICE_QUEUE = 6;
 const MIN_RETRY_AFTER_MS = 250;
+/** Requests that would wait longer are refused, so that the queue holds what can soon be served. */
+const MAX_WAIT_MS = 1_200;
+/** Work against the pool's mean below which a request counts as short. */
+const SHORT_WORK = 0.4;
 
 /** A request that asks for a place. */
-export interface PlaceRequest extends Waiting {
+export interface PlaceRequest {
   pool: string;
+  teamRank: number;
+  routeRank: number;
+  /** Work against the mean of the pool. */
+  relativeWork: number;
+  /** Time within which a place still lets the answer meet its objective, in milliseconds. */
+  onTimeMs: number;
   /** Longest time that it may wait, in milliseconds; refused at once when it would be longer. */
   patienceMs: number;
   /** Endpoints that it must not go to. */
@@ -50,6 +62,8 @@
 
 interface Entry extends Waiting {
   request: PlaceRequest;
+  /** When it no longer meets its objective; undefined once that is so. */
+  lateAt: number | undefined;
   giveUpAt: number;
 }
 
@@ -79,18 +93,26 @@
 
   function submit(request: PlaceRequest): void {
     const state = getPool(request.pool);
-    if (state.queue.countBefore(request.rank) === 0 && tryPlace(state, request)) return;
-    const waitMs = estimateWaitMs(state, request);
-    if (waitMs > request.patienceMs) {
+    const now = host.now();
+    const isLate = request.onTimeMs <= 0;
+    const rank = rankOf(request, isLate);
+    if (state.queue.countBefore(rank) === 0 && tryPlace(state, request)) return;
+    const waitMs = estimateWaitMs(state, rank);
+    if (waitMs > Math.min(request.patienceMs, MAX_WAIT_MS)) {
       request.onRefused('overload', getRetryAfterMs(waitMs));
       return;
     }
-    const giveUpAt = host.now() + request.patienceMs;
-    const entry: Entry = { rank: request.rank, request, giveUpAt };
+    const lateAt = isLate ? undefined : now + request.onTimeMs;
+    const entry: Entry = { rank, request, lateAt, giveUpAt: now + request.patienceMs };
     entries.set(request, entry);
     state.queue.push(entry);
   }
 
+  function rankOf(request: PlaceRequest, isLate: boolean): number {
+    const { teamRank, routeRank } = request;
+    return getRank({ teamRank, routeRank, isLate, isShort: request.relativeWork < SHORT_WORK });
+  }
+
   function withdraw(request: PlaceRequest): void {
     const entry = entries.get(request);
     if (entry === undefined) return;
@@ -103,15 +125,24 @@
     const now = host.now();
     for (const [pool, state] of pools) {
       pump(pool);
-      for (const entry of state.queue) {
-        if (entry.giveUpAt > now) continue;
-        withdraw(entry.request);
-        const waitMs = estimateWaitMs(state, entry.request);
-        entry.request.onRefused('overload', getRetryAfterMs(waitMs));
-      }
+      for (const entry of state.queue) reviewEntry(state, entry, now);
     }
   }
 
+  function reviewEntry(state: PoolState, entry: Entry, now: number): void {
+    const { request } = entry;
+    if (entry.giveUpAt <= now) {
+      withdraw(request);
+      request.onRefused('overload', getRetryAfterMs(estimateWaitMs(state, entry.rank)));
+      return;
+    }
+    if (entry.lateAt === undefined || entry.lateAt > now) return;
+    state.queue.remove(entry);
+    entry.lateAt = undefined;
+    entry.rank = rankOf(request, true);
+    state.queue.push(entry);
+  }
+
   function pump(pool: string): void {
     const state = getPool(pool);
     for (const entry of state.queue) {
@@ -125,16 +156,17 @@
   }
 
   function tryPlace(state: PoolState, request: PlaceRequest): boolean {
-    const candidates: Candidate[] = [];
+    const candidates: Candidate<Endpoint>[] = [];
     for (const endpoint of book.listUsable(request.pool)) {
       if (request.excluded.has(endpoint.announcement.endpointId)) continue;
       candidates.push({
         endpoint,
         occupancy: book.getOccupancy(endpoint),
         slots: getSlots(endpoint),
+        pauseMs: endpoint.pace.pauseMs,
       });
     }
-    const endpoint = tryChooseEndpoint(candidates, host.random);
+    const endpoint = tryChooseEndpoint(candidates, request.relativeWork, host.random);
     if (endpoint === undefined) return false;
     notePlaced(state);
     endpoint.running += 1;
@@ -160,9 +192,9 @@
   }
 
   /** Time until a request would get a place, from the rate at which places have become free. */
-  function estimateWaitMs(state: PoolState, request: PlaceRequest): number {
+  function estimateWaitMs(state: PoolState, rank: number): number {
     forgetOld(state, host.now());
-    const before = state.queue.countBefore(request.rank) + 1;
+    const before = state.queue.countBefore(rank) + 1;
     const rate = Math.max(state.placedAt.length, 1) / RATE_WINDOW_MS;
     return before / rate;
   }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -39,6 +39,10 @@
   /** Revision of the table that the call was admitted under. */
   revision: number;
   body: Buffer | undefined;
+  /** Work against the mean of the pool. */
+  relativeWork: number;
+  /** Time that the caller has probably waited in earlier tries, in milliseconds. */
+  waitedMs: number;
   /** Monotonic times in milliseconds. */
   arrivedAt: number;
   /** When the caller or the route's timeout gives up. */
--- /dev/null
+++ b/src/gateway/urgency.ts
@@ -0,0 +1,24 @@
+/**
+ * The order of requests that wait, for loads above the capacity. Teams go first by their rank.
+ * Within a team's rank, requests that can still meet their objective go before those that no
+ * longer can, whose answers are worth less; then routes by their rank. Short requests go before
+ * the most urgent route, since they take hardly any place from it.
+ */
+
+const TEAM_STEP = 10_000;
+const LATE_STEP = 1_000;
+const MAX_ROUTE_RANK = LATE_STEP - 2;
+
+/** What the order depends on. */
+export interface Urgency {
+  teamRank: number;
+  routeRank: number;
+  isLate: boolean;
+  isShort: boolean;
+}
+
+/** Position in the order; smaller is more urgent. */
+export function getRank({ teamRank, routeRank, isLate, isShort }: Urgency): number {
+  const route = isShort ? 0 : 1 + Math.min(routeRank, MAX_ROUTE_RANK);
+  return teamRank * TEAM_STEP + (isLate ? LATE_STEP : 0) + route;
+}
--- /dev/null
+++ b/src/gateway/workEstimate.ts
@@ -0,0 +1,48 @@
+/** Estimates of what requests cost and how long their callers have been waiting, from what callers state. */
+
+import type { Route } from '../routing/types.js';
+import type { CallHead } from './types.js';
+
+/** Prompt tokens that take as much of an engine as one token of an answer. */
+const PROMPT_TOKENS_A_TOKEN = 35;
+const MEAN_WEIGHT = 0.02;
+/** Less than this is lost on the way, not waited. */
+const MIN_WAITED_MS = 60;
+
+/** Work of a request, in tokens of an answer; 0 for what is no model request. */
+export function getWork({ tokens }: Pick<CallHead, 'tokens'>): number {
+  return tokens === undefined ? 0 : tokens.output + tokens.prompt / PROMPT_TOKENS_A_TOKEN;
+}
+
+/** Running figures of the requests of each pool and route. */
+export interface WorkEstimate {
+  /** Notes a request of a pool; its work against the mean of the pool. */
+  noteWork(pool: string, work: number): number;
+  /**
+   * Time that a caller has probably waited before this try, in milliseconds: callers of a route
+   * state the same time at first and what is left of it when they come again.
+   */
+  getWaitedMs(route: Pick<Route, 'name'>, statedMs: number | undefined): number;
+}
+
+/** Creates figures without any request. */
+export function createWorkEstimate(): WorkEstimate {
+  const meanWork = new Map<string, number>();
+  const longestMs = new Map<string, number>();
+
+  return { noteWork, getWaitedMs };
+
+  function noteWork(pool: string, work: number): number {
+    const mean = meanWork.get(pool) ?? work;
+    meanWork.set(pool, mean + MEAN_WEIGHT * (work - mean));
+    return mean === 0 ? 0 : work / mean;
+  }
+
+  function getWaitedMs({ name }: Pick<Route, 'name'>, statedMs: number | undefined): number {
+    if (statedMs === undefined) return 0;
+    const longest = Math.max(longestMs.get(name) ?? 0, statedMs);
+    longestMs.set(name, longest);
+    const waitedMs = longest - statedMs;
+    return waitedMs < MIN_WAITED_MS ? 0 : waitedMs;
+  }
+}
--- /dev/null
+++ b/test/unit/gateway/crashSuspects.test.ts
@@ -0,0 +1,31 @@
+/** Requests that crash endpoints are known over all gateways. */
+
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createCrashSuspects } from '../../../src/gateway/crashSuspects.js';
+
+function createReport(crashes: { digest: string; crashes: number }[]) {
+  return { gatewayId: 'b', incarnation: 'x', loads: [], uses: [], crashes, waiting: 0 };
+}
+
+describe('crash suspects', () => {
+  it('are those that were there at three crashes, at any gateway', () => {
+    const suspects = createCrashSuspects(() => 0);
+    suspects.note('d');
+    suspects.receive(createReport([{ digest: 'd', crashes: 1 }]));
+    assert.equal(suspects.isSuspect('d'), false);
+    suspects.receive(createReport([{ digest: 'd', crashes: 2 }]));
+    assert.equal(suspects.isSuspect('d'), true);
+    assert.equal(suspects.isSuspect('e'), false);
+  });
+
+  it('are forgotten after a while', () => {
+    let time = 0;
+    const suspects = createCrashSuspects(() => time);
+    for (let count = 0; count < 3; count += 1) suspects.note('d');
+    assert.equal(suspects.isSuspect('d'), true);
+    time = 120_000;
+    suspects.note('other');
+    assert.equal(suspects.isSuspect('d'), false);
+  });
+});
--- /dev/null
+++ b/test/unit/gateway/retryPolicy.test.ts
@@ -0,0 +1,92 @@
+/** What follows a send that brought no whole answer. */
+
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createRetryBudget } from '../../../src/gateway/retryBudget.js';
+import { decideNextStep, type FailedSend } from '../../../src/gateway/retryPolicy.js';
+import type { SendFailure } from '../../../src/gateway/types.js';
+import type { Route, RouteKind } from '../../../src/routing/types.js';
+
+const unknown: SendFailure = { kind: 'unknown', reason: 'reset' };
+
+function createRoute(kind: RouteKind, isResumable = false, maxAttempts = 2) {
+  return { kind, isResumable, maxAttempts } satisfies Partial<Route>;
+}
+
+function decide(changes: Partial<FailedSend>): string {
+  return decideNextStep({
+    failure: unknown,
+    route: createRoute('idempotent'),
+    runCount: 1,
+    sendCount: 1,
+    remainingMs: 1_000,
+    hasBegun: false,
+    ...changes,
+  }).kind;
+}
+
+describe('the step after a failed send', () => {
+  it('never repeats what may have run and must run once', () => {
+    assert.equal(decide({ route: createRoute('nonIdempotent') }), 'fail');
+    assert.equal(decide({ route: createRoute('stream') }), 'fail');
+  });
+
+  it('sends a call that may be repeated to as many endpoints as its route allows', () => {
+    assert.equal(decide({}), 'sendAgain');
+    assert.equal(decide({ runCount: 2 }), 'fail');
+  });
+
+  it('goes on with a resumable stream also when it has begun', () => {
+    assert.equal(decide({ route: createRoute('stream', true), hasBegun: true }), 'sendAgain');
+    assert.equal(decide({ hasBegun: true }), 'fail');
+  });
+
+  it('sends again what surely did not run, whatever its kind', () => {
+    for (const failure of [
+      { kind: 'notSent', reason: 'refused' },
+      { kind: 'notRun', status: 503 },
+    ] satisfies SendFailure[]) {
+      const route = createRoute('nonIdempotent', false, 1);
+      assert.equal(decide({ failure, route, runCount: 0 }), 'sendAgain');
+      assert.equal(decide({ failure, route, runCount: 0, sendCount: 6 }), 'refuse');
+    }
+  });
+
+  it('says not run only when nothing may have run', () => {
+    const failure: SendFailure = { kind: 'notRun', status: 503 };
+    assert.equal(decide({ failure, runCount: 1, sendCount: 6 }), 'fail');
+    assert.equal(decide({ failure, runCount: 0, remainingMs: 5 }), 'refuse');
+  });
+});
+
+describe('the retry budget', () => {
+  it('stays within the limits over all gateways in any window', () => {
+    const limits = { ratio: 0.2, burst: 52, windowMs: 10_000 };
+    for (const count of [1, 3, 11]) {
+      let time = 0;
+      const budgets = Array.from({ length: count }, () =>
+        createRetryBudget(
+          limits,
+          () => time,
+          () => count,
+        ),
+      );
+      const taken: number[] = [];
+      // Every request fails and asks for one further send; 30 requests a second.
+      let requests = 0;
+      for (; time < 60_000; time += 100) {
+        for (let each = 0; each < 3; each += 1) {
+          const budget = budgets[requests % count];
+          requests += 1;
+          budget?.earn('pool');
+          if (budget?.tryTake('pool')) taken.push(time);
+        }
+      }
+      for (const from of taken) {
+        const inWindow = taken.filter((at) => at >= from && at < from + limits.windowMs).length;
+        assert.ok(inWindow <= limits.ratio * 300 + limits.burst, `${count}: ${inWindow}`);
+      }
+      assert.ok(taken.length > 0.1 * requests, `${count} gateways use it: ${taken.length}`);
+    }
+  });
+});
--- /dev/null
+++ b/test/unit/gateway/scheduler.test.ts
@@ -0,0 +1,243 @@
+/** The scheduler under loads above the capacity, played in virtual time: what callers get. */
+
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { Endpoint, EndpointBook } from '../../../src/gateway/endpointBook.js';
+import { createEndpointHealth } from '../../../src/gateway/endpointHealth.js';
+import { createEndpointPace } from '../../../src/gateway/endpointPace.js';
+import { createScheduler, type PlaceRequest } from '../../../src/gateway/scheduler.js';
+
+const POOL = 'engines';
+const SLOTS = 10;
+const STEP_MS = 5;
+const REVIEW_MS = 50;
+const RANDOM_MAX = 999_999;
+
+interface Kind {
+  name: string;
+  teamRank: number;
+  routeRank: number;
+  /** Time in a slot of an engine of usual speed, in milliseconds. */
+  serviceMs: number;
+  objectiveMs: number;
+  waitMs: number;
+  /** Share of the requests. */
+  share: number;
+}
+
+interface Outcome {
+  asked: number;
+  onTime: number;
+  late: number;
+  refused: number;
+}
+
+interface Play {
+  kinds: Kind[];
+  /** Work that arrives against what the engines can do, by time in milliseconds. */
+  getLoad(time: number): number;
+  durationMs: number;
+  /** Slowness of each engine. */
+  engines: number[];
+  seed: number;
+}
+
+function createEndpoint(index: number): Endpoint {
+  const announcement = {
+    endpointId: `engine-${index}`,
+    bornAtMs: 1,
+    sequence: 1,
+    state: 'ready',
+    pool: POOL,
+    address: '',
+    failureDomain: '',
+    slots: SLOTS,
+    warmupLeftMs: 0,
+  };
+  const client = {
+    send: () => ({ resume() {}, abort() {} }),
+    isReachable: () => Promise.resolve(true),
+    close() {},
+  };
+  const [health, pace] = [createEndpointHealth(), createEndpointPace()];
+  return { announcement, client, health, pace, running: 0, heardAt: 0, stated: undefined };
+}
+
+function createBook(endpoints: Endpoint[]): EndpointBook {
+  return {
+    follow() {},
+    listUsable: () => endpoints,
+    getOccupancy: (endpoint) => endpoint.running,
+    receive() {},
+    noteLoad() {},
+    listLoads: () => [],
+    close() {},
+  };
+}
+
+async function play({ kinds, getLoad, durationMs, engines, seed }: Play) {
+  let time = 0;
+  const generator = xoroshiro128plus(seed);
+  const random = (): number => uniformInt(generator, 0, RANDOM_MAX) / (RANDOM_MAX + 1);
+  const endpoints = engines.map((_slowness, index) => createEndpoint(index));
+  const outcomes = new Map(kinds.map(({ name }) => [name, createOutcome()]));
+  const ends: { at: number; endpoint: Endpoint }[] = [];
+  const scheduler = createScheduler({
+    now: () => time,
+    random,
+    book: createBook(endpoints),
+    isEngine: () => true,
+  });
+  const meanMs = kinds.reduce((sum, kind) => sum + kind.share * kind.serviceMs, 0);
+  const capacity = engines.reduce((sum, slowness) => sum + SLOTS / slowness, 0) / meanMs;
+  let owed = 0;
+  while (time < durationMs) {
+    owed += getLoad(time) * capacity * STEP_MS;
+    for (; owed >= 1; owed -= 1) submit(chooseKind(kinds, random()));
+    for (const end of takeEnded()) {
+      end.endpoint.running -= 1;
+      scheduler.release(POOL);
+    }
+    if (time % REVIEW_MS === 0) scheduler.review();
+    // Places are told in a microtask.
+    await Promise.resolve();
+    time += STEP_MS;
+  }
+  scheduler.close();
+  return outcomes;
+
+  function takeEnded(): { endpoint: Endpoint }[] {
+    const ended = ends.filter(({ at }) => at <= time);
+    for (const end of ended) ends.splice(ends.indexOf(end), 1);
+    return ended;
+  }
+
+  function submit(kind: Kind): void {
+    const outcome = outcomes.get(kind.name) ?? createOutcome();
+    const arrivedAt = time;
+    outcome.asked += 1;
+    const request: PlaceRequest = {
+      pool: POOL,
+      teamRank: kind.teamRank,
+      routeRank: kind.routeRank,
+      relativeWork: kind.serviceMs / meanMs,
+      onTimeMs: 0.6 * kind.objectiveMs,
+      patienceMs: 0.35 * kind.waitMs,
+      excluded: new Set(),
+      onPlaced(endpoint) {
+        const slowness = engines[endpoints.indexOf(endpoint)] ?? 1;
+        ends.push({ at: time + kind.serviceMs * slowness, endpoint });
+        if (time - arrivedAt < 0.8 * kind.objectiveMs) outcome.onTime += 1;
+        else outcome.late += 1;
+      },
+      onRefused() {
+        outcome.refused += 1;
+      },
+    };
+    scheduler.submit(request);
+  }
+}
+
+function createOutcome(): Outcome {
+  return { asked: 0, onTime: 0, late: 0, refused: 0 };
+}
+
+function chooseKind(kinds: readonly Kind[], share: number): Kind {
+  let left = share;
+  for (const kind of kinds) {
+    left -= kind.share;
+    if (left < 0) return kind;
+  }
+  return kinds.at(-1)!;
+}
+
+function sumUp(outcomes: Iterable<Outcome>): Outcome {
+  const total = createOutcome();
+  for (const outcome of outcomes) {
+    total.asked += outcome.asked;
+    total.onTime += outcome.onTime;
+    total.late += outcome.late;
+    total.refused += outcome.refused;
+  }
+  return total;
+}
+
+const unlikeEngines = [0.6, 0.6, 0.6, 1, 1, 1, 1, 1, 1, 1, 2.5, 2.5, 2.5];
+const summary = { name: 'summary', teamRank: 0, routeRank: 0, serviceMs: 1_900, objectiveMs: 800 };
+const answer = { name: 'answer', teamRank: 0, routeRank: 1, serviceMs: 1_300, objectiveMs: 400 };
+const label = { name: 'label', teamRank: 0, routeRank: 2, serviceMs: 150, objectiveMs: 500 };
+const mix: Kind[] = [
+  { ...summary, waitMs: 15_000, share: 0.23 },
+  { ...answer, waitMs: 12_000, share: 0.33 },
+  { ...label, waitMs: 3_000, share: 0.44 },
+];
+
+describe('the scheduler', () => {
+  it('serves everything in time below the capacity', async () => {
+    const outcomes = await play({
+      kinds: mix,
+      getLoad: () => 0.7,
+      durationMs: 20_000,
+      engines: unlikeEngines,
+      seed: 1,
+    });
+    const total = sumUp(outcomes.values());
+    assert.ok(total.onTime >= 0.99 * total.asked, JSON.stringify(total));
+  });
+
+  it('keeps serving in time what fits while twice the capacity is asked for', async () => {
+    for (let seed = 1; seed <= 4; seed += 1) {
+      const load = 2;
+      const outcomes = await play({
+        kinds: mix,
+        getLoad: () => load,
+        durationMs: 20_000,
+        engines: unlikeEngines,
+        seed,
+      });
+      const total = sumUp(outcomes.values());
+      // Late answers are worth little, so most of the capacity has to go into answers in time.
+      assert.ok(total.onTime >= 3 * total.late, `seed ${seed}: ${JSON.stringify(total)}`);
+      assert.ok(
+        total.onTime >= (0.8 * total.asked) / load,
+        `seed ${seed}: ${JSON.stringify(total)}`,
+      );
+      const urgent = outcomes.get('summary') ?? createOutcome();
+      assert.ok(urgent.onTime >= 0.9 * urgent.asked, `seed ${seed}: ${JSON.stringify(urgent)}`);
+      const short = outcomes.get('label') ?? createOutcome();
+      assert.ok(short.onTime >= 0.9 * short.asked, `seed ${seed}: ${JSON.stringify(short)}`);
+    }
+  });
+
+  it('refuses nothing of a higher tier while a lower one is served', async () => {
+    const kinds: Kind[] = [
+      { ...answer, name: 'higher', teamRank: 0, waitMs: 12_000, share: 0.4 },
+      { ...answer, name: 'lower', teamRank: 1, waitMs: 12_000, share: 0.6 },
+    ];
+    const outcomes = await play({
+      kinds,
+      getLoad: () => 2,
+      durationMs: 20_000,
+      engines: unlikeEngines,
+      seed: 3,
+    });
+    assert.equal(outcomes.get('higher')?.refused, 0);
+    assert.ok((outcomes.get('lower')?.refused ?? 0) > 0);
+  });
+
+  it('recovers within two seconds after a burst', async () => {
+    const outcomes = await play({
+      kinds: mix,
+      getLoad: (time) => (time < 4_000 ? 2 : 0.6),
+      durationMs: 30_000,
+      engines: unlikeEngines,
+      seed: 5,
+    });
+    const total = sumUp(outcomes.values());
+    // What is above the capacity arrives in 4 s and 2 s later all is in time again.
+    const inBurst = (2 * 6) / (2 * 4 + 0.6 * 26);
+    assert.ok(total.onTime >= (1 - inBurst / 2) * total.asked, JSON.stringify(total));
+  });
+});
--- /dev/null
+++ b/test/unit/platform/tableCodec.test.ts
@@ -0,0 +1,163 @@
+/** The platform's messages decoded into our types, and refused with a typed problem. */
+
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { decodeHeartbeat, tryDecodeDeparture } from '../../../platform/announcementCodec.js';
+import { platformDialect } from '../../../platform/dialect.js';
+import { decodeTable } from '../../../platform/tableCodec.js';
+import { RaisedFailure } from '../../../src/common/failure.js';
+import { tryGetTableProblem } from '../../../src/routing/checkTable.js';
+import { choosePool, createRouteIndex } from '../../../src/routing/routeIndex.js';
+
+function createConfiguration(changes: object = {}, routeChanges: object = {}): object {
+  const route = {
+    name: 'answers',
+    host: 'Shop.example',
+    pathPrefix: '/a/',
+    kind: 'streaming',
+    timeoutMs: 8_000,
+    sloMs: 300,
+    priority: 1,
+    service: 'engines',
+    attempts: 2,
+    public: false,
+    sticky: true,
+    resumable: true,
+    itlTargetMs: 300,
+    ...routeChanges,
+  };
+  return {
+    version: 7,
+    routes: [route, { ...route, name: 'deeper', pathPrefix: '/a/b/', kind: 'idempotent' }],
+    services: [
+      { name: 'engines', maxConns: 360, backend: { capacity: 10, kvCapacity: 600_000 } },
+      { name: 'orders', maxConns: 90 },
+    ],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 2, headerTimeoutMs: 3, idleTimeoutMs: 4 },
+    tenants: [{ name: 'buyers', apiKeys: ['k1', 'k2'], unit: 'token', ratePerS: 5, burst: 6 }],
+    ...changes,
+  };
+}
+
+function decode(configuration: object) {
+  return decodeTable(Buffer.from(JSON.stringify(configuration)));
+}
+
+function getProblem(configuration: object): string | undefined {
+  try {
+    return tryGetTableProblem(decode(configuration))?.kind;
+  } catch (caught) {
+    assert.ok(caught instanceof RaisedFailure && caught.failure.kind === 'invalidTable');
+    return caught.failure.problem.kind;
+  }
+}
+
+describe('a configuration', () => {
+  it('is decoded into routes, pools, teams and limits', () => {
+    const index = createRouteIndex(decode(createConfiguration()));
+    assert.equal(index.table.revision, 7);
+    assert.equal(index.tryGetRoute('shop.example', '/a/x/y')?.name, 'answers');
+    assert.equal(index.tryGetRoute('shop.example', '/a/b/c')?.kind, 'idempotent');
+    assert.equal(index.tryGetRoute('shop.example', '/a'), undefined);
+    assert.equal(index.tryGetRoute('other.example', '/a/x'), undefined);
+    assert.deepEqual(index.tryGetPool('engines')?.engine, { slots: 10, tokenRoom: 600_000 });
+    assert.equal(index.tryGetTeam('k2')?.quota?.unit, 'token');
+  });
+
+  it('is refused with what is wrong', () => {
+    const targets = (weights: number[]): object => ({
+      split: weights.map((weight) => ({ service: 'engines', weight })),
+    });
+    const sharedKey = [
+      { name: 'a', apiKeys: ['k'] },
+      { name: 'b', apiKeys: ['k'] },
+    ];
+    const cases: [object, string | undefined][] = [
+      [createConfiguration(), undefined],
+      [createConfiguration({}, { service: 'nobody' }), 'unknownPool'],
+      [createConfiguration({}, { pathPrefix: '/a/b/' }), 'duplicateRoute'],
+      [createConfiguration({}, targets([0, 0])), 'noWeight'],
+      [createConfiguration({}, { timeoutMs: 0 }), 'noTimeout'],
+      [createConfiguration({ tenants: sharedKey }), 'sharedKey'],
+      [createConfiguration({ version: 'x' }), 'unreadable'],
+      [createConfiguration({ routes: undefined }), 'unreadable'],
+    ];
+    for (const [configuration, problem] of cases) assert.equal(getProblem(configuration), problem);
+    const cut = JSON.stringify(createConfiguration()).slice(0, -9);
+    assert.throws(() => decodeTable(Buffer.from(cut)), RaisedFailure);
+  });
+
+  it('splits a route by its weights', () => {
+    const split = [
+      { service: 'engines', weight: 90 },
+      { service: 'orders', weight: 10 },
+    ];
+    const route = decode(createConfiguration({}, { split })).routes[0]!;
+    assert.equal(choosePool(route, 0.89), 'engines');
+    assert.equal(choosePool(route, 0.91), 'orders');
+  });
+});
+
+describe('a heartbeat', () => {
+  const beat = {
+    service: 'engines',
+    address: '10.0.0.1:80',
+    zone: 'x',
+    version: 'v1',
+    capacity: 10,
+    state: 'draining',
+    warmupLeftMs: 0,
+    seq: 4,
+    born: 100,
+  };
+
+  it('is decoded, and one that cannot be read is refused', () => {
+    const announcement = decodeHeartbeat('a', Buffer.from(JSON.stringify(beat)));
+    assert.equal(announcement.state, 'leaving');
+    for (const change of [
+      { state: 'odd' },
+      { seq: '4' },
+      { address: 5 },
+      { born: undefined },
+      { service: undefined },
+    ]) {
+      const bytes = Buffer.from(JSON.stringify({ ...beat, ...change }));
+      assert.throws(() => decodeHeartbeat('a', bytes), RaisedFailure);
+    }
+    assert.throws(() => decodeHeartbeat('a', Buffer.from('{"ser')), RaisedFailure);
+  });
+
+  it('of the last kind ends the incarnation that is known', () => {
+    const known = decodeHeartbeat('a', Buffer.from(JSON.stringify(beat)));
+    assert.equal(tryDecodeDeparture(Buffer.alloc(0), known)?.state, 'gone');
+    assert.equal(tryDecodeDeparture(Buffer.alloc(0), undefined), undefined);
+  });
+});
+
+describe('an answer', () => {
+  const read = (status: number, fields: string[]) =>
+    platformDialect.readAnswer(
+      status,
+      fields.map((field) => Buffer.from(field)),
+    );
+
+  it('tells whose it is, whether it is vouched for and whether the request has run', () => {
+    const signed = read(200, [
+      'Turmericrack-Attempt-Id',
+      'x',
+      'Turmericrack-Response-Signature',
+      's',
+      'Turmericrack-Replica-Load',
+      '3,1,8',
+      'Connection',
+      'close',
+    ]);
+    assert.equal(signed.callId, 'x');
+    assert.equal(signed.isSigned, true);
+    assert.deepEqual(signed.load, { running: 3, waiting: 1, slots: 8 });
+    assert.equal(signed.headers.includes('Connection'), false);
+    assert.equal(read(503, ['Turmericrack-Not-Executed', '1']).isNotRun, true);
+    assert.equal(read(421, []).isNotRun, true);
+    assert.equal(read(503, []).isNotRun, false);
+  });
+});
