--- a/src/feed/feedClient.ts
+++ b/src/feed/feedClient.ts
@@ -169,8 +169,7 @@
     link.keepers = [];
     link.retryAt = clock.now() + link.retryMs;
     link.retryMs = Math.min(2 * link.retryMs, RECONNECT_MAX_MS);
-    stream?.on('error', () => {});
-    stream?.cancel();
+    cancel(stream);
     client.close();
     // The old channel may sit on a connection that is silent, so a new one is made.
     link.client = createClient(link.address);
@@ -194,10 +193,15 @@
   function close(): void {
     clearInterval(timer);
     for (const link of links.values()) {
-      link.stream?.on('error', () => {});
-      link.stream?.cancel();
+      cancel(link.stream);
       link.client.close();
     }
     links.clear();
   }
 }
+
+/** Gives a stream up; the error that a cancelled stream ends with says nothing new. */
+function cancel(stream: Link['stream']): void {
+  stream?.on('error', () => {});
+  stream?.cancel();
+}
--- a/src/gateway/callRun.ts
+++ b/src/gateway/callRun.ts
@@ -17,6 +17,8 @@
 const MAX_WHOLE_ANSWER_BYTES = 256 * 1024;
 /** Part of the time a caller waits that a request may spend waiting for a place. */
 const PATIENCE_SHARE = 0.35;
+/** Callers of streams leave when nothing comes for some seconds. */
+const STREAM_PATIENCE_MS = 2_000;
 /** Part of an objective that may pass before a request has a place. */
 const ON_TIME_SHARE = 0.6;
 
@@ -91,7 +93,7 @@
     routeRank: route.rank,
     relativeWork: call.relativeWork,
     onTimeMs: route.objectiveMs * ON_TIME_SHARE - call.waitedMs,
-    patienceMs: (call.deadline - call.arrivedAt) * PATIENCE_SHARE,
+    patienceMs: getPatienceMs(call.arrivedAt),
     excluded,
     onPlaced: send,
     onRefused: refuse,
@@ -106,6 +108,11 @@
     resume: () => current?.sending?.resume(),
   };
 
+  function getPatienceMs(now: number): number {
+    const patienceMs = (call.deadline - now) * PATIENCE_SHARE;
+    return isStream ? Math.min(patienceMs, STREAM_PATIENCE_MS) : patienceMs;
+  }
+
   function send(endpoint: Endpoint): void {
     if (isOver) {
       releasePlace(endpoint);
@@ -302,7 +309,7 @@
 
   function sendAgain(): void {
     const now = clock.now();
-    place.patienceMs = (call.deadline - now) * PATIENCE_SHARE;
+    place.patienceMs = getPatienceMs(now);
     place.onTimeMs = route.objectiveMs * ON_TIME_SHARE - call.waitedMs - (now - call.arrivedAt);
     scheduler.submit(place);
   }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -66,7 +66,6 @@
   isSigned: boolean;
   /** Whether the endpoint states that it did not run the request. */
   isNotRun: boolean;
-  isEventStream: boolean;
   load: EndpointReport | undefined;
   /** Names and values in turn, as they go back to the caller. */
   headers: string[];
