--- a/src/gateway/callRun.ts
+++ b/src/gateway/callRun.ts
@@ -69,8 +69,6 @@
   lastAt: number | undefined;
   watched: WatchedSend | undefined;
   bytes: number;
-  /** Whether the endpoint's events follow those of an earlier one. */
-  isContinuation: boolean;
 }
 
 /** Starts a run. */
@@ -139,7 +137,6 @@
       lastAt: undefined,
       watched: undefined,
       bytes: 0,
-      isContinuation: writer.hasBegun,
     };
     current = started;
     watch(started, now);
@@ -162,55 +159,55 @@
     );
   }
 
-  function watch(send_: Send, sentAt: number): void {
-    send_.watched = {
+  function watch(active: Send, sentAt: number): void {
+    active.watched = {
       route,
       sentAt,
-      getPieceAt: () => send_.lastAt,
-      getEndpointHeardAt: () => send_.endpoint.heardAt,
-      onStalled: (reason) => failSend(send_, { kind: 'unknown', reason }),
+      getPieceAt: () => active.lastAt,
+      getEndpointHeardAt: () => active.endpoint.heardAt,
+      onStalled: (reason) => failSend(active, { kind: 'unknown', reason }),
     };
-    host.stalls.add(send_.watched);
+    host.stalls.add(active.watched);
   }
 
-  function handleHead(send_: Send, status: number, rawHeaders: readonly Buffer[]): void {
+  function handleHead(active: Send, status: number, rawHeaders: readonly Buffer[]): void {
     const head = dialect.readAnswer(status, rawHeaders);
-    const { endpoint } = send_;
+    const { endpoint } = active;
     endpoint.heardAt = clock.now();
     if (head.load !== undefined) book.noteLoad(endpoint, head.load);
-    send_.head = head;
+    active.head = head;
     if (head.isNotRun) {
-      failSend(send_, { kind: 'notRun', status });
+      failSend(active, { kind: 'notRun', status });
       return;
     }
     if (head.callId !== callHead.id) {
-      failSend(send_, { kind: 'unknown', reason: 'the answer belongs to another request' });
+      failSend(active, { kind: 'unknown', reason: 'the answer belongs to another request' });
       return;
     }
     if (!head.isSigned) {
-      failSend(send_, { kind: 'unknown', reason: `answer ${status} without a signature` });
+      failSend(active, { kind: 'unknown', reason: `answer ${status} without a signature` });
     }
   }
 
-  function handleData(send_: Send, chunk: Buffer): boolean {
-    const { head } = send_;
-    send_.lastAt = clock.now();
-    send_.endpoint.heardAt = send_.lastAt;
+  function handleData(active: Send, chunk: Buffer): boolean {
+    const { head } = active;
+    active.lastAt = clock.now();
+    active.endpoint.heardAt = active.lastAt;
     if (head === undefined) return true;
     const isSuccess = head.status >= 200 && head.status < 300;
-    if (isStream && isSuccess) return passOn(send_, head, chunk);
-    send_.chunks.push(chunk);
-    send_.bytes += chunk.length;
-    if (send_.bytes <= MAX_WHOLE_ANSWER_BYTES) return true;
+    if (isStream && isSuccess) return passOn(active, head, chunk);
+    active.chunks.push(chunk);
+    active.bytes += chunk.length;
+    if (active.bytes <= MAX_WHOLE_ANSWER_BYTES) return true;
     if (!writer.hasBegun) beginAnswer(head);
-    const bytes = Buffer.concat(send_.chunks);
-    send_.chunks = [];
+    const bytes = Buffer.concat(active.chunks);
+    active.chunks = [];
     return writer.write(bytes);
   }
 
-  function passOn(send_: Send, head: AnswerHead, chunk: Buffer): boolean {
-    if (send_.pieces === 0) send_.firstAt = send_.lastAt ?? clock.now();
-    send_.pieces += 1;
+  function passOn(active: Send, head: AnswerHead, chunk: Buffer): boolean {
+    if (active.pieces === 0) active.firstAt = active.lastAt ?? clock.now();
+    active.pieces += 1;
     const bytes = splitter === undefined ? chunk : splitter.push(chunk);
     if (bytes === undefined) return true;
     if (!writer.hasBegun) beginAnswer(head);
@@ -222,68 +219,68 @@
     writer.begin(head);
   }
 
-  function handleEnd(send_: Send): void {
-    const { head } = send_;
+  function handleEnd(active: Send): void {
+    const { head } = active;
     if (head === undefined) {
-      failSend(send_, { kind: 'unknown', reason: 'ended without an answer' });
+      failSend(active, { kind: 'unknown', reason: 'ended without an answer' });
       return;
     }
     if (splitter?.hasPartialEvent) {
-      failSend(send_, { kind: 'unknown', reason: 'ended within an event' });
+      failSend(active, { kind: 'unknown', reason: 'ended within an event' });
       return;
     }
     const isFailure = head.status >= 500;
-    if (isFailure && shouldRepeat(send_, head)) return;
-    if (isFailure) send_.endpoint.health.noteFailedAnswer(clock.now());
-    else send_.endpoint.health.noteSuccess();
-    if (send_.pieces > 0) send_.endpoint.pace.note(send_.pieces, clock.now() - send_.firstAt);
+    if (isFailure && shouldRepeat(active, head)) return;
+    if (isFailure) active.endpoint.health.noteFailedAnswer(clock.now());
+    else active.endpoint.health.noteSuccess();
+    if (active.pieces > 0) active.endpoint.pace.note(active.pieces, clock.now() - active.firstAt);
     if (writer.hasBegun && head.status >= 300) {
       // A continuation was answered with a failure: what the caller has is not whole.
-      abandon(send_, 'failed', 0, `continuation answered ${head.status}`);
+      abandon(active, 'failed', 0, `continuation answered ${head.status}`);
       return;
     }
     runCount += 1;
-    endSend(send_);
+    endSend(active);
     if (writer.hasBegun) {
-      if (send_.chunks.length > 0) writer.write(Buffer.concat(send_.chunks));
+      if (active.chunks.length > 0) writer.write(Buffer.concat(active.chunks));
       writer.end();
     } else {
       firstMs = clock.now() - call.arrivedAt;
-      writer.writeWhole(head, Buffer.concat(send_.chunks));
+      writer.writeWhole(head, Buffer.concat(active.chunks));
     }
     finish('answered', head.status, '');
   }
 
   /** Whether an endpoint's own failure is answered by sending again. */
-  function shouldRepeat(send_: Send, head: AnswerHead): boolean {
+  function shouldRepeat(active: Send, head: AnswerHead): boolean {
     const failure: SendFailure = { kind: 'failed', status: head.status };
     const step = decide(failure, runCount + 1);
     if (step.kind !== 'sendAgain') return false;
-    failSend(send_, failure, step);
+    failSend(active, failure, step);
     return true;
   }
 
-  function handleBroken(send_: Send, wasSent: boolean, reason: string): void {
+  function handleBroken(active: Send, wasSent: boolean, reason: string): void {
     if (!wasSent) {
-      failSend(send_, { kind: 'notSent', reason });
+      failSend(active, { kind: 'notSent', reason });
       return;
     }
     const { suspects } = host;
     const digest = getDigest(call);
-    void send_.endpoint.client.isReachable().then((isReachable) => {
+    void active.endpoint.client.isReachable().then((isReachable) => {
       if (!isReachable) suspects.note(digest);
     });
-    failSend(send_, { kind: 'unknown', reason });
+    failSend(active, { kind: 'unknown', reason });
   }
 
-  function failSend(send_: Send, failure: SendFailure, decided?: NextStep): void {
-    noteFailure(send_.endpoint, failure);
-    send_.sending?.abort();
-    endSend(send_);
+  function failSend(active: Send, failure: SendFailure, decided?: NextStep): void {
+    noteFailure(active.endpoint, failure);
+    active.sending?.abort();
+    endSend(active);
     splitter?.dropPartialEvent();
     if (failure.kind === 'unknown' || failure.kind === 'failed') runCount += 1;
     const step = decided ?? decide(failure, runCount);
-    const { endpointId } = send_.endpoint.announcement;
+    const { endpointId } = active.endpoint.announcement;
     logger.event('sendFailed', {
       request: callHead.id,
       endpoint: endpointId,
@@ -343,12 +340,12 @@
   }
 
   function abandon(
-    send_: Send,
+    active: Send,
     outcome: CallSummary['outcome'],
     status: number,
     reason: string,
   ): void {
-    endSend(send_);
+    endSend(active);
     writer.breakOff();
     finish(outcome, status, reason);
   }
@@ -360,11 +357,11 @@
     finish('timedOut', 504, current === undefined ? 'no place' : 'no answer');
   }
 
-  function endSend(send_: Send): void {
-    if (current !== send_) return;
+  function endSend(active: Send): void {
+    if (current !== active) return;
     current = undefined;
-    if (send_.watched !== undefined) host.stalls.remove(send_.watched);
-    releasePlace(send_.endpoint);
+    if (active.watched !== undefined) host.stalls.remove(active.watched);
+    releasePlace(active.endpoint);
   }
 
   function releasePlace(endpoint: Endpoint): void {
--- a/test/unit/gateway/scheduler.test.ts
+++ b/test/unit/gateway/scheduler.test.ts
@@ -54,7 +54,7 @@
     address: '',
     failureDomain: '',
     slots: SLOTS,
-    warmupLeftMs: 0,
+    warmingForMs: 0,
   };
   const client = {
     send: () => ({ resume() {}, abort() {} }),
--- a/test/unit/registry/registry.test.ts
+++ b/test/unit/registry/registry.test.ts
@@ -17,7 +17,7 @@
     address: '10.0.0.1:80',
     failureDomain: 'x',
     slots: 10,
-    warmupLeftMs: 0,
+    warmingForMs: 0,
     ...changes,
   };
 }
