--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -10,7 +10,6 @@
 import type { GatewayProcessSettings } from '../common/settings.js';
 import { createFeedClient } from '../feed/feedClient.js';
 import type { GatewayReport } from '../generated/control.js';
-import type { TableDocument } from '../generated/keeper.js';
 import type { CallSummary } from '../gateway/callRun.js';
 import { startCallServer } from '../gateway/callServer.js';
 import { createCrashSuspects } from '../gateway/crashSuspects.js';
@@ -97,7 +96,7 @@
     isSelf: () => false,
     tryGetReport: createReport,
     listAnnouncements: () => registry.list(),
-    onTable: receiveTable,
+    onTable: view.receive,
     onAnnouncements(announcements) {
       for (const announcement of announcements) registry.merge(announcement);
       book.follow();
@@ -162,10 +161,6 @@
     return gateway.drainLimitMs - STOP_MARGIN_MS - stoppingMs;
   }
 
-  function receiveTable(document: TableDocument, isConfirmed: boolean): void {
-    view.receive(document, isConfirmed);
-  }
-
   function followTable(table: RoutingTable): void {
     quotas.follow(table.teams ?? []);
     limits = table.limits;
--- a/src/feed/feedClient.ts
+++ b/src/feed/feedClient.ts
@@ -46,12 +46,8 @@
 
 /** The running feed of a follower. */
 export interface FeedClient {
-  /** Keepers whose connection is alive. */
-  readonly connectedCount: number;
   /** Time since any keeper was heard, in milliseconds. */
   readonly silenceMs: number;
-  /** Passes announcements on to all connected keepers. */
-  tell(announcements: Announcement[]): void;
   close(): void;
 }
 
@@ -76,15 +72,9 @@
   review();
 
   return {
-    get connectedCount() {
-      return listHeard().length;
-    },
     get silenceMs() {
       return clock.now() - lastHeardAt;
     },
-    tell(announcements) {
-      for (const link of listHeard()) send(link, { announcements });
-    },
     close,
   };
 
--- a/src/feed/feedServer.ts
+++ b/src/feed/feedServer.ts
@@ -47,7 +47,6 @@
   id: string;
   stream: FeedStream;
   wantsReports: boolean;
-  confirmedRevision: number;
   sentKeepers: string;
 }
 
@@ -70,7 +69,6 @@
       id: '',
       stream,
       wantsReports: false,
-      confirmedRevision: -1,
       sentKeepers: '',
     };
     stream.on('data', (message: FeedMessage) => receive(follower, message));
@@ -109,7 +107,6 @@
       setTimeout(() => void confirmTable(follower), CONFIRM_RETRY_MS);
       return;
     }
-    follower.confirmedRevision = table.revision;
     send(follower, { table, confirmed: true });
   }
 
--- a/src/gateway/callAdmission.ts
+++ b/src/gateway/callAdmission.ts
@@ -1,7 +1,6 @@
 /** Decides by the table in force whether a request may run, before it asks for a place. */
 
-import type { RouteIndex } from '../routing/routeIndex.js';
-import { choosePool } from '../routing/routeIndex.js';
+import { choosePool, type RouteIndex } from '../routing/routeIndex.js';
 import type { Route, Team } from '../routing/types.js';
 import type { OwnAnswer } from './answerWriter.js';
 import type { Quotas } from './quotas.js';
--- a/src/gateway/waitingQueue.ts
+++ b/src/gateway/waitingQueue.ts
@@ -14,8 +14,6 @@
   remove(item: Item): boolean;
   /** Requests that go before a new one of `rank`. */
   countBefore(rank: number): number;
-  /** The least urgent rank that waits. */
-  readonly lastRank: number | undefined;
   /** In the order in which they are to be placed. */
   [Symbol.iterator](): IterableIterator<Item>;
 }
@@ -31,9 +29,6 @@
     push,
     remove,
     countBefore: (rank) => findEnd(rank),
-    get lastRank() {
-      return items.at(-1)?.rank;
-    },
     [Symbol.iterator]: () => items.slice().values(),
   };
 
--- a/src/routing/checkTable.ts
+++ b/src/routing/checkTable.ts
@@ -19,9 +19,9 @@
   pools: ReadonlySet<string>,
   places: Set<string>,
 ): TableProblem | undefined {
-  const { name, host, pathPrefix, targets } = route;
-  const place = `${host} ${pathPrefix}`;
-  if (places.has(place)) return { kind: 'duplicateRoute', host, pathPrefix };
+  const { name, host, prefix, targets } = route;
+  const place = `${host} ${prefix}`;
+  if (places.has(place)) return { kind: 'duplicateRoute', host, prefix };
   places.add(place);
   const unknown = targets.find((target) => !pools.has(target.pool));
   if (unknown !== undefined) return { kind: 'unknownPool', route: name, pool: unknown.pool };
@@ -54,7 +54,7 @@
     case 'unknownPool':
       return `route ${problem.route} names the unknown pool ${problem.pool}`;
     case 'duplicateRoute':
-      return `two routes have the host ${problem.host} and the path ${problem.pathPrefix}`;
+      return `two routes have the host ${problem.host} and the path ${problem.prefix}`;
     case 'noWeight':
       return `the weights of route ${problem.route} add up to nothing`;
     case 'noTimeout':
--- a/src/routing/routeIndex.ts
+++ b/src/routing/routeIndex.ts
@@ -17,7 +17,7 @@
   const routesByHost = new Map<string, Map<string, Route>>();
   for (const route of table.routes) {
     const routes = routesByHost.get(route.host) ?? new Map<string, Route>();
-    routes.set(route.pathPrefix, route);
+    routes.set(route.prefix, route);
     routesByHost.set(route.host, routes);
   }
   const pools = new Map(table.pools.map((pool) => [pool.name, pool]));
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -15,7 +15,7 @@
   /** Lower case, without a port. */
   host: string;
   /** Begins and ends with a slash. */
-  pathPrefix: string;
+  prefix: string;
   kind: RouteKind;
   /** Longest time that a request is kept, in milliseconds. */
   timeoutMs: number;
@@ -94,7 +94,7 @@
 export type TableProblem =
   | { kind: 'unreadable'; reason: string }
   | { kind: 'unknownPool'; route: string; pool: string }
-  | { kind: 'duplicateRoute'; host: string; pathPrefix: string }
+  | { kind: 'duplicateRoute'; host: string; prefix: string }
   | { kind: 'noWeight'; route: string }
   | { kind: 'noTimeout'; route: string }
   | { kind: 'sharedKey'; team: string; otherTeam: string };
