--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -12,6 +12,7 @@
 const programs = {
   turmericrackd: 'src/daemon/main.ts',
   turmericrack: 'src/cli/main.ts',
+  platform: 'platform/main.ts',
   fakeEndpoint: 'test/fakes/main.ts',
 };
 
--- a/src/common/logSink.ts
+++ b/src/common/logSink.ts
@@ -14,7 +14,9 @@
   write(line: string): void;
   /** Lines dropped since the last call. */
   takeDropped(): number;
-  /** Writes what is buffered, before the process ends. */
+  /** Whether the reader has taken nothing for at least one flush interval. */
+  readonly isBlocked: boolean;
+  /** Writes what is buffered, before the process ends; waits for the reader. */
   flushSync(): void;
 }
 
@@ -32,7 +34,13 @@
   });
   // Nobody is left to tell when standard output itself is gone.
   stream.on('error', () => {});
-  const timer = setInterval(() => stream.flush(() => {}), FLUSH_INTERVAL_MS);
+  let pendingFlushes = 0;
+  const timer = setInterval(() => {
+    pendingFlushes += 1;
+    stream.flush(() => {
+      pendingFlushes -= 1;
+    });
+  }, FLUSH_INTERVAL_MS);
   timer.unref();
 
   return {
@@ -42,11 +50,14 @@
       dropped = 0;
       return count;
     },
+    get isBlocked() {
+      return pendingFlushes > 0;
+    },
     flushSync() {
       try {
         stream.flushSync();
       } catch {
-        // A reader that does not keep up must not hold the process.
+        // The reader is gone, and with it the place to say so.
       }
     },
   };
--- a/src/common/logging.ts
+++ b/src/common/logging.ts
@@ -14,9 +14,14 @@
 
 let processSink: LogSink | undefined;
 
-/** Writes what is buffered, before the process ends. */
-export function flushLog(): void {
+/**
+ * Ends the process once its last lines are written. When nobody reads them, a thread is blocked in
+ * writing, and a regular exit would wait for that thread.
+ */
+export function endProcess(exitCode: number): void {
+  if (processSink?.isBlocked) process.kill(process.pid, 'SIGKILL');
   processSink?.flushSync();
+  process.exit(exitCode);
 }
 
 /** Creates a logger that stamps each line with the process's `id`. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -6,7 +6,7 @@
 import { SystemClock } from '../common/clock.js';
 import { assertNever } from '../common/debug.js';
 import { describeFailure, raise, toFailure } from '../common/failure.js';
-import { createLogger, flushLog } from '../common/logging.js';
+import { createLogger, endProcess } from '../common/logging.js';
 import { createMeasures } from '../common/measures.js';
 import { readSettings, type ProcessSettings } from '../common/settings.js';
 import type { Adapter, RunningProcess } from './types.js';
@@ -77,8 +77,7 @@
   const measures = await createMeasures(settings.metrics);
   const fail = (caught: unknown): void => {
     logger.event('processFailed', { failure: describeFailure(toFailure(caught)) });
-    flushLog();
-    process.exit(EXIT_FAILED);
+    endProcess(EXIT_FAILED);
   };
   process.on('uncaughtException', fail);
   process.on('unhandledRejection', fail);
@@ -131,7 +130,6 @@
     await running.stop();
     measures.close();
     logger.event('processStopped', {});
-    flushLog();
-    process.exit(0);
+    endProcess(0);
   }
 }
