Try an endpoint that was out by single requests, and tell other gateways of it

An endpoint that has crashed has no load, so it looks cheapest, and whenever its time out was over, all that waited went there at once; each of the eleven gateways learned of each crash by itself. Change: after its time out an endpoint is on probation: one request of a gateway at a time, for the first second only one that may be repeated, until something is heard. Reports say which endpoints a gateway has taken out; others doubt those they have not heard for 300 ms. An endpoint with running requests that is silent for 700 ms gets no more of them. What is sent again and again still loses its time in the queue, which is next.

--- a/src/gateway/callRun.ts
+++ b/src/gateway/callRun.ts
@@ -8,7 +8,7 @@
 import { createEventSplitter } from './eventSplitter.js';
 import { getDigest, type CrashSuspects } from './crashSuspects.js';
 import type { RetryBudget } from './retryBudget.js';
-import { decideNextStep, giveUp, type NextStep } from './retryPolicy.js';
+import { decideNextStep, giveUp, mayRunAgain, type NextStep } from './retryPolicy.js';
 import type { PlaceRequest, RefusalReason, Scheduler } from './scheduler.js';
 import type { StallWatch, WatchedSend } from './stallWatch.js';
 import type { AnswerHead, Call, Dialect, SendFailure } from './types.js';
@@ -95,6 +95,7 @@
     relativeWork: call.relativeWork,
     onTimeMs: route.objectiveMs * ON_TIME_SHARE - call.waitedMs,
     patienceMs: getPatienceMs(call.arrivedAt),
+    mayRepeat: mayRunAgain(route),
     excluded,
     onPlaced: send,
     onRefused: refuse,
@@ -198,6 +199,7 @@
     pauseMs = Math.max(pauseMs, now - (active.lastAt ?? now));
     active.lastAt = now;
     active.endpoint.heardAt = now;
+    active.endpoint.health.noteHeard(now);
     if (head === undefined) return true;
     const isSuccess = head.status >= 200 && head.status < 300;
     if (isStream && isSuccess) return passOn(active, head, chunk);
--- a/src/gateway/endpointBook.ts
+++ b/src/gateway/endpointBook.ts
@@ -11,6 +11,10 @@
 const REPORT_RETENTION_MS = 1_500;
 /** Age after which an endpoint's own report is no longer believed. */
 const LOAD_RETENTION_MS = 400;
+/** Silence of an endpoint with running requests after which it gets no more of them. */
+const SILENCE_MS = 700;
+/** Time for which an answer counts for more than what another gateway says of its endpoint. */
+const OWN_EVIDENCE_MS = 300;
 
 /** One incarnation of an endpoint. */
 export interface Endpoint {
@@ -20,7 +24,7 @@
   readonly pace: EndpointPace;
   /** Requests of this gateway that run there. */
   running: number;
-  /** Newest time at which any byte came from there. */
+  /** Newest time at which any byte came from there, or at which it got its only request. */
   heardAt: number;
   /** Load as the endpoint stated it with its last answer. */
   stated: (EndpointReport & { at: number; ownRunning: number }) | undefined;
@@ -36,8 +40,8 @@
 export interface EndpointBook {
   /** Takes over what the registry says now. */
   follow(): void;
-  /** Endpoints of a pool that may get new requests. */
-  listUsable(pool: string): Endpoint[];
+  /** Endpoints of a pool that may get a request, one that may be repeated or not. */
+  listUsable(pool: string, mayRepeat: boolean): Endpoint[];
   /** Requests that run at an endpoint, from all gateways, as far as is known here. */
   getOccupancy(endpoint: Endpoint): number;
   receive(report: GatewayReport): void;
@@ -87,12 +91,14 @@
     };
   }
 
-  function listUsable(pool: string): Endpoint[] {
+  function listUsable(pool: string, mayRepeat: boolean): Endpoint[] {
     const now = host.now();
     const usable: Endpoint[] = [];
     for (const [id, endpoint] of endpoints) {
       if (endpoint.announcement.pool !== pool || !host.registry.isUsable(id)) continue;
-      if (endpoint.health.isIn(now)) usable.push(endpoint);
+      const { health, running, heardAt } = endpoint;
+      if (running > 0 && now - heardAt > SILENCE_MS) continue;
+      if (health.isUsable(now, { running, mayRepeat })) usable.push(endpoint);
     }
     return usable;
   }
@@ -114,18 +120,28 @@
   }
 
   function receive(report: GatewayReport): void {
+    for (const { endpointId, isOut } of report.loads) {
+      if (isOut) followOutage(endpointId);
+    }
     const loads = new Map(report.loads.map((load) => [load.endpointId, load.running]));
     peers.set(report.gatewayId, { loads, at: host.now() });
   }
 
+  /** An endpoint that is heard here is not doubted because of what another gateway sees. */
+  function followOutage(endpointId: string): void {
+    const endpoint = endpoints.get(endpointId);
+    if (endpoint === undefined) return;
+    if (host.now() - endpoint.heardAt > OWN_EVIDENCE_MS) endpoint.health.noteOutElsewhere();
+  }
+
   function noteLoad(endpoint: Endpoint, report: EndpointReport): void {
     endpoint.stated = { ...report, at: host.now(), ownRunning: endpoint.running };
   }
 
   function listLoads(): EndpointLoad[] {
     const loads: EndpointLoad[] = [];
-    for (const [endpointId, { running }] of endpoints) {
-      if (running > 0) loads.push({ endpointId, running });
+    for (const [endpointId, { running, health }] of endpoints) {
+      if (running > 0 || health.isOut) loads.push({ endpointId, running, isOut: health.isOut });
     }
     return loads;
   }
--- a/src/gateway/endpointHealth.ts
+++ b/src/gateway/endpointHealth.ts
@@ -1,6 +1,7 @@
 /**
- * Judges one endpoint by the outcomes of what was sent to it: out after repeated failures, back by
- * single probes. Health checks are not used: they say little about grey failures.
+ * Judges one endpoint by the outcomes of what was sent to it: out after repeated failures, then on
+ * probation, where single requests try it, those that may be repeated first. Health checks are not
+ * used: they say little about grey failures.
  */
 
 /** Failures in a row, without any answer, after which an endpoint gets nothing new. */
@@ -11,12 +12,26 @@
 const OUTCOME_WEIGHT = 0.12;
 const OUT_MIN_MS = 500;
 const OUT_MAX_MS = 4_000;
+/** Time on probation after which also a request that may not be repeated tries the endpoint. */
+const REPEATABLE_FIRST_MS = 1_000;
+
+/** A request that may try an endpoint on probation. */
+export interface Trial {
+  /** Requests of this gateway that run there. */
+  running: number;
+  mayRepeat: boolean;
+}
 
 /** State of one endpoint. */
 export interface EndpointHealth {
-  /** Whether new requests may go there. */
-  isIn(now: number): boolean;
+  readonly isOut: boolean;
+  /** Whether a new request may go there. */
+  isUsable(now: number, trial: Trial): boolean;
   noteSuccess(): void;
+  /** A piece of an answer came. */
+  noteHeard(now: number): void;
+  /** Another gateway has taken the endpoint out. */
+  noteOutElsewhere(): void;
   /** The endpoint answered with a failure of its own. */
   noteFailedAnswer(now: number): void;
   /** The endpoint did not answer, or broke off. */
@@ -31,9 +46,19 @@
   let failureShare = 0;
   let outUntil = 0;
   let outMs = OUT_MIN_MS;
+  let isOnProbation = false;
 
   return {
-    isIn: (now) => now >= outUntil,
+    get isOut() {
+      return isOnProbation;
+    },
+    isUsable,
+    noteHeard(now) {
+      if (now >= outUntil) isOnProbation = false;
+    },
+    noteOutElsewhere() {
+      isOnProbation = true;
+    },
     noteSuccess() {
       failuresInRow = 0;
       failureShare *= 1 - OUTCOME_WEIGHT;
@@ -44,6 +69,13 @@
     noteUnreachable: takeOut,
   };
 
+  function isUsable(now: number, { running, mayRepeat }: Trial): boolean {
+    if (now < outUntil) return false;
+    if (!isOnProbation) return true;
+    if (running > 0) return false;
+    return mayRepeat || now >= outUntil + REPEATABLE_FIRST_MS;
+  }
+
   function noteFailedAnswer(now: number): void {
     failureShare += OUTCOME_WEIGHT * (1 - failureShare);
     if (failureShare > MAX_FAILURE_SHARE) takeOut(now);
@@ -58,6 +90,7 @@
   function takeOut(now: number): void {
     if (now < outUntil) return;
     outUntil = now + outMs;
+    isOnProbation = true;
     outMs = Math.min(2 * outMs, OUT_MAX_MS);
     // One more failure after the return is enough to be out again.
     failuresInRow = MAX_FAILURES_IN_ROW - 1;
--- a/src/gateway/retryPolicy.ts
+++ b/src/gateway/retryPolicy.ts
@@ -51,12 +51,16 @@
   return runCount === 0 ? { kind: 'refuse' } : { kind: 'fail' };
 }
 
+/** Whether a request that may have run may be sent to another endpoint. */
+export function mayRunAgain({ kind, isResumable }: Pick<Route, 'kind' | 'isResumable'>): boolean {
+  return kind === 'idempotent' || (kind === 'stream' && isResumable);
+}
+
 function canSendUnrun({ sendCount, remainingMs }: FailedSend): boolean {
   return sendCount < MAX_SENDS_NOT_RUN && remainingMs > MIN_REMAINING_MS;
 }
 
 function canRepeat({ route, runCount, remainingMs, hasBegun }: FailedSend): boolean {
   if (runCount >= route.maxAttempts || remainingMs <= MIN_REMAINING_MS) return false;
-  if (route.kind === 'stream') return route.isResumable;
-  return route.kind === 'idempotent' && !hasBegun;
+  return mayRunAgain(route) && (route.kind === 'stream' || !hasBegun);
 }
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -31,6 +31,8 @@
   onTimeMs: number;
   /** Longest time that it may wait, in milliseconds; refused at once when it would be longer. */
   patienceMs: number;
+  /** Whether it may be sent again when an endpoint breaks off. */
+  mayRepeat: boolean;
   /** Endpoints that it must not go to. */
   excluded: ReadonlySet<string>;
   onPlaced(endpoint: Endpoint): void;
@@ -157,7 +159,7 @@
 
   function tryPlace(state: PoolState, request: PlaceRequest): boolean {
     const candidates: Candidate<Endpoint>[] = [];
-    for (const endpoint of book.listUsable(request.pool)) {
+    for (const endpoint of book.listUsable(request.pool, request.mayRepeat)) {
       if (request.excluded.has(endpoint.announcement.endpointId)) continue;
       candidates.push({
         endpoint,
@@ -169,6 +171,7 @@
     const endpoint = tryChooseEndpoint(candidates, request.relativeWork, host.random);
     if (endpoint === undefined) return false;
     notePlaced(state);
+    if (endpoint.running === 0) endpoint.heardAt = host.now();
     endpoint.running += 1;
     // The caller's next step may release the place, which must not happen within this loop.
     queueMicrotask(() => request.onPlaced(endpoint));
--- a/src/gateway/stallWatch.ts
+++ b/src/gateway/stallWatch.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Route } from '../routing/types.js';
+import { mayRunAgain } from './retryPolicy.js';
 
 const CHECK_MS = 150;
 /** Pause of a stream, and silence of its whole endpoint, after which it is taken to hang. */
@@ -42,7 +43,7 @@
 
   return {
     add(send) {
-      if (mayGoOnElsewhere(send)) sends.add(send);
+      if (mayRunAgain(send.route)) sends.add(send);
     },
     remove: (send) => void sends.delete(send),
     review,
@@ -60,10 +61,6 @@
   }
 }
 
-function mayGoOnElsewhere({ route }: WatchedSend): boolean {
-  return route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable);
-}
-
 function tryGetStall(send: WatchedSend, time: number): string | undefined {
   const pieceAt = send.getPieceAt();
   if (pieceAt === undefined) {
