Let a request that could not be sent keep its turn, and wait on for a last send that hangs

Ruled out: too few places alone; the same requests are served where the first endpoint is alive. Change: the queue orders a rank by arrival, which a request keeps; its patience counts from when its caller last heard anything. A hanging send is left only where another one is allowed.

--- a/src/gateway/callRun.ts
+++ b/src/gateway/callRun.ts
@@ -88,11 +88,14 @@
   let placedMs = 0;
   let firstMs = 0;
   let pauseMs = 0;
+  /** When the caller last heard anything, or began to wait. */
+  let callerHeardAt = call.arrivedAt;
   const place: PlaceRequest = {
     pool: call.pool,
     teamRank: call.team?.rank ?? 0,
     routeRank: route.rank,
     relativeWork: call.relativeWork,
+    arrivedAt: call.arrivedAt,
     onTimeMs: route.objectiveMs * ON_TIME_SHARE - call.waitedMs,
     patienceMs: getPatienceMs(call.arrivedAt),
     mayRepeat: mayRunAgain(route),
@@ -110,9 +113,11 @@
     resume: () => current?.sending?.resume(),
   };
 
+  /** What is left of the time for which the request may wait, however often it was sent. */
   function getPatienceMs(now: number): number {
-    const patienceMs = (call.deadline - now) * PATIENCE_SHARE;
-    return isStream ? Math.min(patienceMs, STREAM_PATIENCE_MS) : patienceMs;
+    const patienceMs = (call.deadline - callerHeardAt) * PATIENCE_SHARE;
+    const limitMs = isStream ? Math.min(patienceMs, STREAM_PATIENCE_MS) : patienceMs;
+    return limitMs - (now - callerHeardAt);
   }
 
   function send(endpoint: Endpoint): void {
@@ -169,11 +174,18 @@
       sentAt,
       getPieceAt: () => active.lastAt,
       getEndpointHeardAt: () => active.endpoint.heardAt,
-      onStalled: (reason) => failSend(active, { kind: 'unknown', reason }),
+      onStalled: (reason) => leaveStalled(active, reason),
     };
     host.stalls.add(active.watched);
   }
 
+  /** Gives up a send that hangs for another one; where none is allowed it may still go on. */
+  function leaveStalled(active: Send, reason: string): void {
+    const failure: SendFailure = { kind: 'unknown', reason };
+    const step = decide(failure, runCount + 1);
+    if (step.kind === 'sendAgain') failSend(active, failure, step);
+  }
+
   function handleHead(active: Send, status: number, rawHeaders: readonly Buffer[]): void {
     const head = dialect.readAnswer(status, rawHeaders);
     const { endpoint } = active;
@@ -218,6 +230,7 @@
     const bytes = splitter === undefined ? chunk : splitter.push(chunk);
     if (bytes === undefined) return true;
     if (!writer.hasBegun) beginAnswer(head);
+    callerHeardAt = clock.now();
     return writer.write(bytes);
   }
 
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -27,6 +27,8 @@
   routeRank: number;
   /** Work against the mean of the pool. */
   relativeWork: number;
+  /** Monotonic time of the request's arrival, in milliseconds. */
+  arrivedAt: number;
   /** Time within which a place still lets the answer meet its objective, in milliseconds. */
   onTimeMs: number;
   /** Longest time that it may wait, in milliseconds; refused at once when it would be longer. */
@@ -97,15 +99,15 @@
     const state = getPool(request.pool);
     const now = host.now();
     const isLate = request.onTimeMs <= 0;
-    const rank = rankOf(request, isLate);
-    if (state.queue.countBefore(rank) === 0 && tryPlace(state, request)) return;
-    const waitMs = estimateWaitMs(state, rank);
+    const waiting = { rank: rankOf(request, isLate), arrivedAt: request.arrivedAt };
+    if (state.queue.countBefore(waiting) === 0 && tryPlace(state, request)) return;
+    const waitMs = estimateWaitMs(state, waiting);
     if (waitMs > Math.min(request.patienceMs, MAX_WAIT_MS)) {
       request.onRefused('overload', getRetryAfterMs(waitMs));
       return;
     }
     const lateAt = isLate ? undefined : now + request.onTimeMs;
-    const entry: Entry = { rank, request, lateAt, giveUpAt: now + request.patienceMs };
+    const entry: Entry = { ...waiting, request, lateAt, giveUpAt: now + request.patienceMs };
     entries.set(request, entry);
     state.queue.push(entry);
   }
@@ -135,7 +137,7 @@
     const { request } = entry;
     if (entry.giveUpAt <= now) {
       withdraw(request);
-      request.onRefused('overload', getRetryAfterMs(estimateWaitMs(state, entry.rank)));
+      request.onRefused('overload', getRetryAfterMs(estimateWaitMs(state, entry)));
       return;
     }
     if (entry.lateAt === undefined || entry.lateAt > now) return;
@@ -195,9 +197,9 @@
   }
 
   /** Time until a request would get a place, from the rate at which places have become free. */
-  function estimateWaitMs(state: PoolState, rank: number): number {
+  function estimateWaitMs(state: PoolState, waiting: Waiting): number {
     forgetOld(state, host.now());
-    const before = state.queue.countBefore(rank) + 1;
+    const before = state.queue.countBefore(waiting) + 1;
     const rate = Math.max(state.placedAt.length, 1) / RATE_WINDOW_MS;
     return before / rate;
   }
--- a/src/gateway/waitingQueue.ts
+++ b/src/gateway/waitingQueue.ts
@@ -4,6 +4,8 @@
 export interface Waiting {
   /** Smaller is more urgent. */
   rank: number;
+  /** Monotonic time of its arrival, in milliseconds; a request that comes back keeps it. */
+  arrivedAt: number;
 }
 
 /** A queue by rank. */
@@ -12,8 +14,8 @@
   push(item: Item): void;
   /** False when it is no longer waiting. */
   remove(item: Item): boolean;
-  /** Requests that go before a new one of `rank`. */
-  countBefore(rank: number): number;
+  /** Requests that go before one of this rank and arrival. */
+  countBefore(item: Waiting): number;
   /** In the order in which they are to be placed. */
   [Symbol.iterator](): IterableIterator<Item>;
 }
@@ -28,12 +30,12 @@
     },
     push,
     remove,
-    countBefore: (rank) => findEnd(rank),
+    countBefore: findEnd,
     [Symbol.iterator]: () => items.slice().values(),
   };
 
   function push(item: Item): void {
-    items.splice(findEnd(item.rank), 0, item);
+    items.splice(findEnd(item), 0, item);
   }
 
   function remove(item: Item): boolean {
@@ -43,15 +45,21 @@
     return true;
   }
 
-  /** Position behind all items of `rank` and of more urgent ones. */
-  function findEnd(rank: number): number {
+  /** Position behind all items that go before `item`. */
+  function findEnd(item: Waiting): number {
     let low = 0;
     let high = items.length;
     while (low < high) {
       const middle = Math.floor((low + high) / 2);
-      if ((items[middle]?.rank ?? 0) <= rank) low = middle + 1;
-      else high = middle;
+      const other = items[middle];
+      if (other !== undefined && isAfter(other, item)) high = middle;
+      else low = middle + 1;
     }
     return low;
   }
 }
+
+function isAfter(item: Waiting, other: Waiting): boolean {
+  if (item.rank !== other.rank) return item.rank > other.rank;
+  return item.arrivedAt > other.arrivedAt;
+}
--- /dev/null
+++ b/test/unit/gateway/callRun.test.ts
@@ -0,0 +1,207 @@
+/** One request from its admission to its end: what it asks of the scheduler and what the caller gets. */
+
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import { VirtualClock } from '../../../src/common/clock.js';
+import { startCallRun, type CallRun, type CallSummary } from '../../../src/gateway/callRun.js';
+import type { Endpoint } from '../../../src/gateway/endpointBook.js';
+import type { SendEvents } from '../../../src/gateway/endpointClient.js';
+import { createEndpointHealth } from '../../../src/gateway/endpointHealth.js';
+import { createEndpointPace } from '../../../src/gateway/endpointPace.js';
+import type { PlaceRequest } from '../../../src/gateway/scheduler.js';
+import type { WatchedSend } from '../../../src/gateway/stallWatch.js';
+import type { AnswerHead, Call } from '../../../src/gateway/types.js';
+import type { Route, RouteKind } from '../../../src/routing/types.js';
+
+const ARRIVED_AT = 1_000;
+const WAIT_MS = 10_000;
+
+const answerHead: AnswerHead = {
+  status: 200,
+  callId: 'call-1',
+  isSigned: true,
+  isNotRun: false,
+  load: undefined,
+  headers: [],
+};
+
+function createRoute(kind: RouteKind, maxAttempts: number): Route {
+  return {
+    name: 'route',
+    host: 'a.example',
+    prefix: '/',
+    kind,
+    timeoutMs: WAIT_MS,
+    objectiveMs: 500,
+    pauseObjectiveMs: undefined,
+    rank: 1,
+    targets: [{ pool: 'pool', weight: 1 }],
+    maxAttempts,
+    isPublic: true,
+    isResumable: kind === 'stream',
+  };
+}
+
+function createCall(route: Route): Call {
+  const head = {
+    id: 'call-1',
+    method: 'GET',
+    target: '/',
+    host: 'a.example',
+    path: '/',
+    key: undefined,
+    waitMs: WAIT_MS,
+    tokens: undefined,
+    resumeAfter: undefined,
+    headers: [],
+  };
+  return {
+    head,
+    route,
+    pool: 'pool',
+    team: undefined,
+    revision: 1,
+    body: undefined,
+    relativeWork: 1,
+    waitedMs: 0,
+    arrivedAt: ARRIVED_AT,
+    deadline: ARRIVED_AT + WAIT_MS,
+  };
+}
+
+/** A run with everything around it under the test's control. */
+function startRun(kind: RouteKind, maxAttempts: number) {
+  const clock = new VirtualClock(ARRIVED_AT);
+  const submitted: { at: number; arrivedAt: number; patienceMs: number }[] = [];
+  const statuses: number[] = [];
+  const summaries: CallSummary[] = [];
+  const sends: SendEvents[] = [];
+  let place: PlaceRequest | undefined;
+  let watched: WatchedSend | undefined;
+  const run: CallRun = startCallRun(
+    {
+      clock,
+      logger: { event() {} },
+      dialect: {
+        tryReadCall: () => undefined,
+        toEndpointHeaders: () => [],
+        readAnswer: () => answerHead,
+        decodeTable: () => assert.fail('no table is read'),
+      },
+      scheduler: {
+        submit(request) {
+          place = request;
+          const { arrivedAt, patienceMs } = request;
+          submitted.push({ at: clock.now(), arrivedAt, patienceMs });
+        },
+        withdraw() {},
+        release() {},
+        review() {},
+        waitingCount: 0,
+        close() {},
+      },
+      book: {
+        follow() {},
+        listUsable: () => [],
+        getOccupancy: () => 0,
+        receive() {},
+        noteLoad() {},
+        listLoads: () => [],
+        close() {},
+      },
+      budget: { earn() {}, tryTake: () => true },
+      stalls: {
+        add(send) {
+          watched = send;
+        },
+        remove() {},
+        review() {},
+        close() {},
+      },
+      suspects: { size: 0, note() {}, isSuspect: () => false, receive() {}, listCounts: () => [] },
+      onEnd: (summary) => summaries.push(summary),
+    },
+    createCall(createRoute(kind, maxAttempts)),
+    {
+      hasBegun: false,
+      begin() {},
+      write: () => true,
+      end() {},
+      writeWhole: (head) => statuses.push(head.status),
+      writeOwn: (answer) => statuses.push(answer.status),
+      breakOff() {},
+    },
+  );
+
+  return {
+    clock,
+    submitted,
+    statuses,
+    summaries,
+    sends,
+    cancel: run.cancel,
+    place() {
+      place?.onPlaced(createEndpoint(sends));
+    },
+    stall: () => watched?.onStalled('no answer'),
+  };
+}
+
+function createEndpoint(sends: SendEvents[]): Endpoint {
+  const announcement = {
+    endpointId: `endpoint-${sends.length}`,
+    bornAtMs: 1,
+    sequence: 1,
+    state: 'ready',
+    pool: 'pool',
+    address: '',
+    failureDomain: '',
+    slots: 1,
+    warmingForMs: 0,
+  };
+  const client = {
+    send(_request: unknown, events: SendEvents) {
+      sends.push(events);
+      return { resume() {}, abort() {} };
+    },
+    isReachable: () => Promise.resolve(true),
+    close() {},
+  };
+  const [health, pace] = [createEndpointHealth(), createEndpointPace()];
+  return { announcement, client, health, pace, running: 1, heardAt: 0, stated: undefined };
+}
+
+describe('the run of a request', () => {
+  let started: ReturnType<typeof startRun> | undefined;
+
+  afterEach(() => started?.cancel());
+
+  it('waits again in the order of its arrival and for what is left of its time', () => {
+    started = startRun('stream', 2);
+    started.clock.advance(600);
+    started.place();
+    started.sends[0]?.onFailure(false, 'ECONNREFUSED');
+    const [first, second] = started.submitted;
+    assert.equal(second?.at, ARRIVED_AT + 600);
+    assert.equal(second.arrivedAt, first?.arrivedAt);
+    assert.equal(second.patienceMs, (first?.patienceMs ?? 0) - 600);
+  });
+
+  it('leaves a send that hangs for another endpoint', () => {
+    started = startRun('idempotent', 2);
+    started.place();
+    started.stall();
+    assert.equal(started.submitted.length, 2);
+  });
+
+  it('goes on waiting for its last send although that seems to hang', () => {
+    started = startRun('idempotent', 1);
+    started.place();
+    started.stall();
+    assert.deepEqual(started.statuses, []);
+    started.sends[0]?.onHead(200, []);
+    started.sends[0]?.onEnd();
+    assert.deepEqual(started.statuses, [200]);
+    assert.equal(started.summaries[0]?.outcome, 'answered');
+  });
+});
--- a/test/unit/gateway/scheduler.test.ts
+++ b/test/unit/gateway/scheduler.test.ts
@@ -125,6 +125,7 @@
       relativeWork: kind.serviceMs / meanMs,
       onTimeMs: 0.6 * kind.objectiveMs,
       patienceMs: 0.35 * kind.waitMs,
+      arrivedAt,
       mayRepeat: true,
       excluded: new Set(),
       onPlaced(endpoint) {
