Share free slots among gateways, place by unread prompts, let interrupted requests go first

Placement counts what an engine has still to read. Cause: of requests that had a place at once, a third began late: a prompt of 50,000 tokens takes 600 ms to read, and all behind it wait. Test: short prompts behind long ones, 5% late without that knowledge, under 1% with it.

Interrupted requests go first and are not refused; the budget of further sends counts a window instead of a bucket of three sends. Two tests of a run, one of the budget.

Gateways take their share of free slots. Cause: engines with 10 slots held 12 to 15 requests on average, 35 when they had come back, since eleven gateways see each other's requests 250 ms late and each takes what it sees free. A played test: at most half more than the slots after a return, and the slots used to nine tenths.

Ruled out: idle engines (the sum of requests was above the slots all the time).

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -60,7 +60,7 @@
     decode: dialect.decodeTable,
     onTable: followTable,
   });
-  const book = createEndpointBook({ now, registry });
+  const book = createEndpointBook({ now, random: Math.random, registry });
   const quotas = createQuotas({
     now,
     slack: gateway.quotaSlack ?? 0,
--- a/src/gateway/callRun.ts
+++ b/src/gateway/callRun.ts
@@ -63,6 +63,9 @@
 interface Send {
   endpoint: Endpoint;
   sending: Sending | undefined;
+  sentAt: number;
+  /** Prompt tokens that the endpoint had to read for this and earlier requests. */
+  tokensToRead: number;
   head: AnswerHead | undefined;
   chunks: Buffer[];
   /** Pieces of a stream so far, and when the first came. */
@@ -95,10 +98,13 @@
     teamRank: call.team?.rank ?? 0,
     routeRank: route.rank,
     relativeWork: call.relativeWork,
+    promptTokens: callHead.tokens?.prompt ?? 0,
+    objectiveMs: route.objectiveMs,
     arrivedAt: call.arrivedAt,
     onTimeMs: route.objectiveMs * ON_TIME_SHARE - call.waitedMs,
     patienceMs: getPatienceMs(call.arrivedAt),
     mayRepeat: mayRunAgain(route),
+    wasInterrupted: false,
     excluded,
     onPlaced: send,
     onRefused: refuse,
@@ -115,6 +121,7 @@
 
   /** What is left of the time for which the request may wait, however often it was sent. */
   function getPatienceMs(now: number): number {
+    if (runCount > 0) return call.deadline - now;
     const patienceMs = (call.deadline - callerHeardAt) * PATIENCE_SHARE;
     const limitMs = isStream ? Math.min(patienceMs, STREAM_PATIENCE_MS) : patienceMs;
     return limitMs - (now - callerHeardAt);
@@ -139,6 +146,8 @@
     const started: Send = {
       endpoint,
       sending: undefined,
+      sentAt: now,
+      tokensToRead: book.getUnreadTokens(endpoint) + place.promptTokens,
       head: undefined,
       chunks: [],
       pieces: 0,
@@ -148,7 +157,8 @@
       bytes: 0,
     };
     current = started;
-    watch(started, now);
+    endpoint.unreadTokens += place.promptTokens;
+    watch(started);
     const headers = dialect.toEndpointHeaders(callHead, {
       endpointId: lastEndpoint,
       team: call.team?.name,
@@ -168,10 +178,10 @@
     );
   }
 
-  function watch(active: Send, sentAt: number): void {
+  function watch(active: Send): void {
     active.watched = {
       route,
-      sentAt,
+      sentAt: active.sentAt,
       getPieceAt: () => active.lastAt,
       getEndpointHeardAt: () => active.endpoint.heardAt,
       onStalled: (reason) => leaveStalled(active, reason),
@@ -179,8 +189,12 @@
     host.stalls.add(active.watched);
   }
 
-  /** Gives up a send that hangs for another one; where none is allowed it may still go on. */
+  /** Gives up a send that hangs for another one; where there is none it may still go on. */
   function leaveStalled(active: Send, reason: string): void {
+    if (!scheduler.hasPlace(place)) {
+      watch(active);
+      return;
+    }
     const failure: SendFailure = { kind: 'unknown', reason };
     const step = decide(failure, runCount + 1);
     if (step.kind === 'sendAgain') failSend(active, failure, step);
@@ -225,7 +239,7 @@
   }
 
   function passOn(active: Send, head: AnswerHead, chunk: Buffer): boolean {
-    if (active.pieces === 0) active.firstAt = active.lastAt ?? clock.now();
+    if (active.pieces === 0) noteBegun(active);
     active.pieces += 1;
     const bytes = splitter === undefined ? chunk : splitter.push(chunk);
     if (bytes === undefined) return true;
@@ -234,6 +248,13 @@
     return writer.write(bytes);
   }
 
+  function noteBegun(active: Send): void {
+    active.firstAt = clock.now();
+    const { endpoint, tokensToRead, sentAt, firstAt } = active;
+    endpoint.unreadTokens -= place.promptTokens;
+    if (tokensToRead > 0) endpoint.pace.noteBegun(tokensToRead, firstAt - sentAt);
+  }
+
   function beginAnswer(head: AnswerHead): void {
     firstMs = clock.now() - call.arrivedAt;
     writer.begin(head);
@@ -326,6 +347,7 @@
 
   function sendAgain(): void {
     const now = clock.now();
+    place.wasInterrupted = runCount > 0;
     place.patienceMs = getPatienceMs(now);
     place.onTimeMs = route.objectiveMs * ON_TIME_SHARE - call.waitedMs - (now - call.arrivedAt);
     scheduler.submit(place);
@@ -380,12 +402,14 @@
   function endSend(active: Send): void {
     if (current !== active) return;
     current = undefined;
+    if (active.pieces === 0) active.endpoint.unreadTokens -= place.promptTokens;
     if (active.watched !== undefined) host.stalls.remove(active.watched);
     releasePlace(active.endpoint);
   }
 
   function releasePlace(endpoint: Endpoint): void {
     endpoint.running -= 1;
+    endpoint.claims.noteReleased();
     scheduler.release(call.pool);
   }
 
--- a/src/gateway/endpointBook.ts
+++ b/src/gateway/endpointBook.ts
@@ -5,6 +5,7 @@
 import { createEndpointClient, type EndpointClient } from './endpointClient.js';
 import { createEndpointHealth, type EndpointHealth } from './endpointHealth.js';
 import { createEndpointPace, type EndpointPace } from './endpointPace.js';
+import { createSlotClaims, type SlotClaims } from './slotClaims.js';
 import type { EndpointReport } from './types.js';
 
 /** Age after which what another gateway reported no longer counts. */
@@ -22,8 +23,11 @@
   readonly client: EndpointClient;
   readonly health: EndpointHealth;
   readonly pace: EndpointPace;
+  readonly claims: SlotClaims;
   /** Requests of this gateway that run there. */
   running: number;
+  /** Prompt tokens of this gateway's requests there whose answers have not begun. */
+  unreadTokens: number;
   /** Newest time at which any byte came from there, or at which it got its only request. */
   heardAt: number;
   /** Load as the endpoint stated it with its last answer. */
@@ -33,6 +37,7 @@
 /** What the book needs from outside. */
 export interface EndpointBookHost {
   now(): number;
+  random(): number;
   registry: Registry;
 }
 
@@ -44,14 +49,18 @@
   listUsable(pool: string, mayRepeat: boolean): Endpoint[];
   /** Requests that run at an endpoint, from all gateways, as far as is known here. */
   getOccupancy(endpoint: Endpoint): number;
+  /** Prompt tokens that an endpoint has still to read, from all gateways. */
+  getUnreadTokens(endpoint: Endpoint): number;
   receive(report: GatewayReport): void;
   noteLoad(endpoint: Endpoint, report: EndpointReport): void;
   listLoads(): EndpointLoad[];
+  /** Gateways that are heard, this one included. */
+  readonly gatewayCount: number;
   close(): void;
 }
 
 interface PeerLoads {
-  loads: Map<string, number>;
+  loads: Map<string, EndpointLoad>;
   at: number;
 }
 
@@ -60,7 +69,19 @@
   const endpoints = new Map<string, Endpoint>();
   const peers = new Map<string, PeerLoads>();
 
-  return { follow, listUsable, getOccupancy, receive, noteLoad, listLoads, close };
+  return {
+    follow,
+    listUsable,
+    getOccupancy,
+    getUnreadTokens,
+    receive,
+    noteLoad,
+    listLoads,
+    get gatewayCount() {
+      return countGateways();
+    },
+    close,
+  };
 
   function follow(): void {
     for (const announcement of host.registry.list()) {
@@ -85,7 +106,9 @@
       client: createEndpointClient(announcement.address),
       health: createEndpointHealth(),
       pace: createEndpointPace(),
+      claims: createSlotClaims(host.now, host.random),
       running: 0,
+      unreadTokens: 0,
       heardAt: host.now(),
       stated: undefined,
     };
@@ -108,22 +131,46 @@
     const oldest = host.now() - REPORT_RETENTION_MS;
     let others = 0;
     for (const peer of peers.values()) {
-      if (peer.at >= oldest) others += peer.loads.get(endpointId) ?? 0;
+      if (peer.at >= oldest) others += peer.loads.get(endpointId)?.running ?? 0;
     }
     return endpoint.running + Math.max(others, getStatedOthers(endpoint));
   }
 
+  function getUnreadTokens({ announcement, unreadTokens, pace }: Endpoint): number {
+    const now = host.now();
+    const tokenMs = pace.promptTokenMs ?? 0;
+    let others = 0;
+    for (const { loads, at } of peers.values()) {
+      const ageMs = now - at;
+      const reported = loads.get(announcement.endpointId)?.unreadTokens ?? 0;
+      if (reported === 0 || ageMs > REPORT_RETENTION_MS) continue;
+      // The endpoint has gone on reading since the report.
+      const readSince = tokenMs === 0 ? 0 : ageMs / tokenMs;
+      others += Math.max(0, reported - readSince);
+    }
+    return unreadTokens + others;
+  }
+
   /** Requests of other gateways by the endpoint's own word. */
   function getStatedOthers({ stated }: Endpoint): number {
     if (stated === undefined || host.now() - stated.at > LOAD_RETENTION_MS) return 0;
     return Math.max(0, stated.running + stated.waiting - stated.ownRunning);
   }
 
+  function countGateways(): number {
+    const oldest = host.now() - REPORT_RETENTION_MS;
+    let count = 1;
+    for (const { at } of peers.values()) {
+      if (at >= oldest) count += 1;
+    }
+    return count;
+  }
+
   function receive(report: GatewayReport): void {
     for (const { endpointId, isOut } of report.loads) {
       if (isOut) followOutage(endpointId);
     }
-    const loads = new Map(report.loads.map((load) => [load.endpointId, load.running]));
+    const loads = new Map(report.loads.map((load) => [load.endpointId, load]));
     peers.set(report.gatewayId, { loads, at: host.now() });
   }
 
@@ -140,8 +187,9 @@
 
   function listLoads(): EndpointLoad[] {
     const loads: EndpointLoad[] = [];
-    for (const [endpointId, { running, health }] of endpoints) {
-      if (running > 0 || health.isOut) loads.push({ endpointId, running, isOut: health.isOut });
+    for (const [endpointId, { running, unreadTokens, health }] of endpoints) {
+      const { isOut } = health;
+      if (running > 0 || isOut) loads.push({ endpointId, running, isOut, unreadTokens });
     }
     return loads;
   }
--- a/src/gateway/retryBudget.ts
+++ b/src/gateway/retryBudget.ts
@@ -1,12 +1,16 @@
 /**
- * Further sends of requests, bounded over all gateways: each earns a part of a send with every
- * request of a pool and holds its share of the burst.
+ * Further sends of requests, bounded over all gateways: in each window a gateway sends no more of
+ * them than a part of the requests that it had in the same window and its share of the burst.
  */
 
 /** Part of the allowed amounts that gateways use, since their counts are not of the same window. */
 const USED_SHARE = 0.8;
 /** Assumed until reports tell how many gateways there are. */
 const MIN_GATEWAYS = 3;
+/** Parts that a window is counted in. */
+const SLICES = 20;
+/** Share of the burst that a gateway has at its start: its predecessor may have used the same window. */
+const INITIAL_BURST_SHARE = 0.5;
 
 /** Limits over all gateways together. */
 export interface RetryLimits {
@@ -25,45 +29,61 @@
   tryTake(pool: string): boolean;
 }
 
+interface Slice {
+  /** Number of the slice since the budget was created. */
+  index: number;
+  requests: number;
+  sends: number;
+}
+
 /** Creates a budget; `countGateways` gives the gateways that share the limits. */
 export function createRetryBudget(
   limits: RetryLimits,
   now: () => number,
   countGateways: () => number,
 ): RetryBudget {
-  const pools = new Map<string, { tokens: number; at: number }>();
+  const startedAt = now();
+  const sliceMs = limits.windowMs / SLICES;
+  const pools = new Map<string, Slice[]>();
 
   return {
     earn(pool) {
-      const budget = getPool(pool);
-      budget.tokens = Math.min(getBurst(), budget.tokens + limits.ratio * USED_SHARE);
+      getSlice(pool).requests += 1;
     },
     tryTake(pool) {
-      const budget = getPool(pool);
-      if (budget.tokens < 1) return false;
-      budget.tokens -= 1;
+      const slice = getSlice(pool);
+      const slices = pools.get(pool) ?? [];
+      // The oldest slice reaches beyond the window: its requests are too old, its sends may not be.
+      const oldest = slice.index - SLICES;
+      const requests = sum(slices, ({ index, requests: count }) => (index > oldest ? count : 0));
+      const sends = sum(slices, (counted) => counted.sends);
+      const allowed = USED_SHARE * (limits.ratio * requests + getBurst());
+      if (sends + 1 > allowed) return false;
+      slice.sends += 1;
       return true;
     },
   };
 
   function getBurst(): number {
-    // Half may be there at the beginning of a window, the other half returns during it.
-    const half = (limits.burst * USED_SHARE) / 2;
-    return half / Math.max(countGateways(), MIN_GATEWAYS);
+    const age = (now() - startedAt) / limits.windowMs;
+    const share = Math.min(1, INITIAL_BURST_SHARE + age);
+    return (limits.burst * share) / Math.max(countGateways(), MIN_GATEWAYS);
   }
 
-  /** The state of a pool, with what has returned since its last use. */
-  function getPool(pool: string): { tokens: number; at: number } {
-    const time = now();
-    const known = pools.get(pool);
-    if (known === undefined) {
-      const created = { tokens: getBurst(), at: time };
-      pools.set(pool, created);
-      return created;
-    }
-    const returned = (getBurst() * (time - known.at)) / limits.windowMs;
-    known.tokens = Math.min(getBurst(), known.tokens + returned);
-    known.at = time;
-    return known;
+  /** The slice of a pool that is being counted; drops those that are older than a window. */
+  function getSlice(pool: string): Slice {
+    const index = Math.floor((now() - startedAt) / sliceMs);
+    const slices = pools.get(pool) ?? [];
+    pools.set(pool, slices);
+    while (slices[0] !== undefined && slices[0].index < index - SLICES) slices.shift();
+    const last = slices.at(-1);
+    if (last?.index === index) return last;
+    const created = { index, requests: 0, sends: 0 };
+    slices.push(created);
+    return created;
   }
 }
+
+function sum(slices: readonly Slice[], count: (slice: Slice) => number): number {
+  return slices.reduce((total, slice) => total + count(slice), 0);
+}
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -27,6 +27,9 @@
   routeRank: number;
   /** Work against the mean of the pool. */
   relativeWork: number;
+  promptTokens: number;
+  /** Time within which the answer should begin, in milliseconds. */
+  objectiveMs: number;
   /** Monotonic time of the request's arrival, in milliseconds. */
   arrivedAt: number;
   /** Time within which a place still lets the answer meet its objective, in milliseconds. */
@@ -35,6 +38,8 @@
   patienceMs: number;
   /** Whether it may be sent again when an endpoint breaks off. */
   mayRepeat: boolean;
+  /** Whether it ran at an endpoint that broke off. */
+  wasInterrupted: boolean;
   /** Endpoints that it must not go to. */
   excluded: ReadonlySet<string>;
   onPlaced(endpoint: Endpoint): void;
@@ -54,6 +59,8 @@
 /** Places requests at endpoints. */
 export interface Scheduler {
   submit(request: PlaceRequest): void;
+  /** Whether a request would get a place at once. */
+  hasPlace(request: PlaceRequest): boolean;
   /** Gives up a request that may still wait. */
   withdraw(request: PlaceRequest): void;
   /** Tells that a place has become free. */
@@ -86,6 +93,7 @@
 
   return {
     submit,
+    hasPlace: (request) => tryChoose(request) !== undefined,
     withdraw,
     release: (pool) => pump(pool),
     review,
@@ -102,7 +110,8 @@
     const waiting = { rank: rankOf(request, isLate), arrivedAt: request.arrivedAt };
     if (state.queue.countBefore(waiting) === 0 && tryPlace(state, request)) return;
     const waitMs = estimateWaitMs(state, waiting);
-    if (waitMs > Math.min(request.patienceMs, MAX_WAIT_MS)) {
+    const longestMs = Math.min(request.patienceMs, MAX_WAIT_MS);
+    if (waitMs > longestMs && !request.wasInterrupted) {
       request.onRefused('overload', getRetryAfterMs(waitMs));
       return;
     }
@@ -113,8 +122,9 @@
   }
 
   function rankOf(request: PlaceRequest, isLate: boolean): number {
-    const { teamRank, routeRank } = request;
-    return getRank({ teamRank, routeRank, isLate, isShort: request.relativeWork < SHORT_WORK });
+    const { teamRank, routeRank, wasInterrupted } = request;
+    const isShort = request.relativeWork < SHORT_WORK;
+    return getRank({ teamRank, routeRank, isLate, isShort, wasInterrupted });
   }
 
   function withdraw(request: PlaceRequest): void {
@@ -159,32 +169,39 @@
     }
   }
 
-  function tryPlace(state: PoolState, request: PlaceRequest): boolean {
+  function tryChoose(request: PlaceRequest): Endpoint | undefined {
     const candidates: Candidate<Endpoint>[] = [];
+    const isEngine = host.isEngine(request.pool);
+    const { gatewayCount } = book;
     for (const endpoint of book.listUsable(request.pool, request.mayRepeat)) {
       if (request.excluded.has(endpoint.announcement.endpointId)) continue;
+      const occupancy = book.getOccupancy(endpoint);
+      const slots = endpoint.announcement.slots + (isEngine ? 0 : SERVICE_QUEUE);
+      if (isEngine && !endpoint.claims.mayPlace(slots - occupancy, gatewayCount)) continue;
       candidates.push({
         endpoint,
-        occupancy: book.getOccupancy(endpoint),
-        slots: getSlots(endpoint),
+        occupancy,
+        slots,
         pauseMs: endpoint.pace.pauseMs,
+        unreadTokens: book.getUnreadTokens(endpoint),
+        promptTokenMs: endpoint.pace.promptTokenMs,
       });
     }
-    const endpoint = tryChooseEndpoint(candidates, request.relativeWork, host.random);
+    return tryChooseEndpoint(candidates, request, host.random);
+  }
+
+  function tryPlace(state: PoolState, request: PlaceRequest): boolean {
+    const endpoint = tryChoose(request);
     if (endpoint === undefined) return false;
     notePlaced(state);
     if (endpoint.running === 0) endpoint.heardAt = host.now();
     endpoint.running += 1;
+    endpoint.claims.notePlaced();
     // The caller's next step may release the place, which must not happen within this loop.
     queueMicrotask(() => request.onPlaced(endpoint));
     return true;
   }
 
-  function getSlots(endpoint: Endpoint): number {
-    const { slots, pool } = endpoint.announcement;
-    return host.isEngine(pool) ? slots : slots + SERVICE_QUEUE;
-  }
-
   function notePlaced(state: PoolState): void {
     const now = host.now();
     state.placedAt.push(now);
--- a/src/gateway/urgency.ts
+++ b/src/gateway/urgency.ts
@@ -2,7 +2,8 @@
  * The order of requests that wait, for loads above the capacity. Teams go first by their rank.
  * Within a team's rank, requests that can still meet their objective go before those that no
  * longer can, whose answers are worth less; then routes by their rank. Short requests go before
- * the most urgent route, since they take hardly any place from it.
+ * the most urgent route, since they take hardly any place from it; so do requests whose endpoint
+ * broke off, whose callers have waited for nothing so far.
  */
 
 const TEAM_STEP = 10_000;
@@ -15,10 +16,15 @@
   routeRank: number;
   isLate: boolean;
   isShort: boolean;
+  /** Whether it ran at an endpoint that broke off. */
+  wasInterrupted: boolean;
 }
 
 /** Position in the order; smaller is more urgent. */
-export function getRank({ teamRank, routeRank, isLate, isShort }: Urgency): number {
+export function getRank(urgency: Urgency): number {
+  const { teamRank, routeRank, isLate, isShort, wasInterrupted } = urgency;
+  const team = teamRank * TEAM_STEP;
+  if (wasInterrupted) return team;
   const route = isShort ? 0 : 1 + Math.min(routeRank, MAX_ROUTE_RANK);
-  return teamRank * TEAM_STEP + (isLate ? LATE_STEP : 0) + route;
+  return team + (isLate ? LATE_STEP : 0) + route;
 }
--- a/test/unit/gateway/callRun.test.ts
+++ b/test/unit/gateway/callRun.test.ts
@@ -8,6 +8,7 @@
 import type { SendEvents } from '../../../src/gateway/endpointClient.js';
 import { createEndpointHealth } from '../../../src/gateway/endpointHealth.js';
 import { createEndpointPace } from '../../../src/gateway/endpointPace.js';
+import { createSlotClaims } from '../../../src/gateway/slotClaims.js';
 import type { PlaceRequest } from '../../../src/gateway/scheduler.js';
 import type { WatchedSend } from '../../../src/gateway/stallWatch.js';
 import type { AnswerHead, Call } from '../../../src/gateway/types.js';
@@ -70,9 +71,11 @@
 }
 
 /** A run with everything around it under the test's control. */
-function startRun(kind: RouteKind, maxAttempts: number) {
+function startRun(kind: RouteKind, maxAttempts: number, hasPlace = true) {
   const clock = new VirtualClock(ARRIVED_AT);
-  const submitted: { at: number; arrivedAt: number; patienceMs: number }[] = [];
+  const submitted: (Pick<PlaceRequest, 'arrivedAt' | 'patienceMs' | 'wasInterrupted'> & {
+    at: number;
+  })[] = [];
   const statuses: number[] = [];
   const summaries: CallSummary[] = [];
   const sends: SendEvents[] = [];
@@ -91,9 +94,10 @@
       scheduler: {
         submit(request) {
           place = request;
-          const { arrivedAt, patienceMs } = request;
-          submitted.push({ at: clock.now(), arrivedAt, patienceMs });
+          const { arrivedAt, patienceMs, wasInterrupted } = request;
+          submitted.push({ at: clock.now(), arrivedAt, patienceMs, wasInterrupted });
         },
+        hasPlace: () => hasPlace,
         withdraw() {},
         release() {},
         review() {},
@@ -104,9 +108,11 @@
         follow() {},
         listUsable: () => [],
         getOccupancy: () => 0,
+        getUnreadTokens: () => 0,
         receive() {},
         noteLoad() {},
         listLoads: () => [],
+        gatewayCount: 1,
         close() {},
       },
       budget: { earn() {}, tryTake: () => true },
@@ -168,7 +174,18 @@
     close() {},
   };
   const [health, pace] = [createEndpointHealth(), createEndpointPace()];
-  return { announcement, client, health, pace, running: 1, heardAt: 0, stated: undefined };
+  const claims = createSlotClaims(() => 0, Math.random);
+  return {
+    announcement,
+    client,
+    health,
+    pace,
+    claims,
+    running: 1,
+    unreadTokens: 0,
+    heardAt: 0,
+    stated: undefined,
+  };
 }
 
 describe('the run of a request', () => {
@@ -194,6 +211,23 @@
     assert.equal(started.submitted.length, 2);
   });
 
+  it('stays with a send that hangs while no endpoint has a place', () => {
+    started = startRun('idempotent', 2, false);
+    started.place();
+    started.stall();
+    assert.equal(started.submitted.length, 1);
+  });
+
+  it('waits for a place as long as its caller when its endpoint broke off', () => {
+    started = startRun('stream', 2);
+    started.place();
+    started.clock.advance(3_000);
+    started.sends[0]?.onFailure(true, 'ECONNRESET');
+    const [, second] = started.submitted;
+    assert.equal(second?.patienceMs, WAIT_MS - 3_000);
+    assert.ok(second.wasInterrupted);
+  });
+
   it('goes on waiting for its last send although that seems to hang', () => {
     started = startRun('idempotent', 1);
     started.place();
--- /dev/null
+++ b/test/unit/gateway/placement.test.ts
@@ -0,0 +1,78 @@
+/** Placement on engines that read prompts one after the other: when answers begin. */
+
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { tryChooseEndpoint } from '../../../src/gateway/placement.js';
+
+const ENGINES = 8;
+const SLOTS = 10;
+const PROMPT_TOKEN_MS = 0.011;
+const SHORT_TOKENS = 600;
+/** Takes longer to read than the objective of any short request. */
+const LONG_TOKENS = 50_000;
+const OBJECTIVE_MS = 300;
+const REQUESTS = 4_000;
+const INTERVAL_MS = 8;
+const LONG_SHARE = 0.02;
+const RANDOM_MAX = 999_999;
+
+interface Engine {
+  /** When it has read all prompts that it was given, in milliseconds. */
+  readUntil: number;
+}
+
+/** Share of the short requests whose answers begin after their objective. */
+function playShare(seed: number, seesUnread: boolean): number {
+  const generator = xoroshiro128plus(seed);
+  const random = () => uniformInt(generator, 0, RANDOM_MAX) / (RANDOM_MAX + 1);
+  const engines: Engine[] = Array.from({ length: ENGINES }, () => ({ readUntil: 0 }));
+  let late = 0;
+  let short = 0;
+  for (let index = 0; index < REQUESTS; index += 1) {
+    const now = index * INTERVAL_MS;
+    const promptTokens = random() < LONG_SHARE ? LONG_TOKENS : SHORT_TOKENS;
+    const candidates = engines.map((engine) => ({
+      endpoint: engine,
+      occupancy: 3,
+      slots: SLOTS,
+      pauseMs: 20,
+      unreadTokens: seesUnread ? Math.max(0, engine.readUntil - now) / PROMPT_TOKEN_MS : 0,
+      promptTokenMs: PROMPT_TOKEN_MS,
+    }));
+    const demand = { relativeWork: 1, promptTokens, objectiveMs: OBJECTIVE_MS };
+    const engine = tryChooseEndpoint(candidates, demand, random) ?? assert.fail('all are full');
+    engine.readUntil = Math.max(now, engine.readUntil) + promptTokens * PROMPT_TOKEN_MS;
+    if (promptTokens === LONG_TOKENS) continue;
+    short += 1;
+    if (engine.readUntil - now > OBJECTIVE_MS) late += 1;
+  }
+  return late / short;
+}
+
+describe('placement', () => {
+  it('keeps short prompts from behind long ones', () => {
+    for (const seed of [1, 2, 3]) {
+      assert.ok(playShare(seed, true) < 0.01);
+      // The same load without that knowledge, so that the check above is known to mean something.
+      assert.ok(playShare(seed, false) > 0.05);
+    }
+  });
+
+  it('takes the endpoint with room and the least load when nothing else differs', () => {
+    const candidates = [10, 4, 7].map((occupancy) => ({
+      endpoint: occupancy,
+      occupancy,
+      slots: SLOTS,
+      pauseMs: undefined,
+      unreadTokens: 0,
+      promptTokenMs: undefined,
+    }));
+    const demand = { relativeWork: 1, promptTokens: 0, objectiveMs: OBJECTIVE_MS };
+    assert.equal(
+      tryChooseEndpoint(candidates, demand, () => 0),
+      4,
+    );
+  });
+});
--- a/test/unit/gateway/retryPolicy.test.ts
+++ b/test/unit/gateway/retryPolicy.test.ts
@@ -89,4 +89,19 @@
       assert.ok(taken.length > 0.1 * requests, `${count} gateways use it: ${taken.length}`);
     }
   });
+
+  it('has the budget of a whole window when several endpoints break off together', () => {
+    let time = 0;
+    const budget = createRetryBudget(
+      { ratio: 0.2, burst: 52, windowMs: 10_000 },
+      () => time,
+      () => 11,
+    );
+    for (; time < 10_000; time += 50) budget.earn('pool');
+    let taken = 0;
+    while (budget.tryTake('pool')) taken += 1;
+    // Of 200 requests a fifth, and a share of the burst; four fifths of both are used.
+    assert.ok(taken >= 30, `${taken} sends`);
+    assert.ok(taken <= 0.2 * 200 + 52 / 11, `${taken} sends`);
+  });
 });
--- a/test/unit/gateway/scheduler.test.ts
+++ b/test/unit/gateway/scheduler.test.ts
@@ -7,6 +7,7 @@
 import type { Endpoint, EndpointBook } from '../../../src/gateway/endpointBook.js';
 import { createEndpointHealth } from '../../../src/gateway/endpointHealth.js';
 import { createEndpointPace } from '../../../src/gateway/endpointPace.js';
+import { createSlotClaims } from '../../../src/gateway/slotClaims.js';
 import { createScheduler, type PlaceRequest } from '../../../src/gateway/scheduler.js';
 
 const POOL = 'engines';
@@ -62,7 +63,18 @@
     close() {},
   };
   const [health, pace] = [createEndpointHealth(), createEndpointPace()];
-  return { announcement, client, health, pace, running: 0, heardAt: 0, stated: undefined };
+  const claims = createSlotClaims(() => 0, Math.random);
+  return {
+    announcement,
+    client,
+    health,
+    pace,
+    claims,
+    running: 0,
+    unreadTokens: 0,
+    heardAt: 0,
+    stated: undefined,
+  };
 }
 
 function createBook(endpoints: Endpoint[]): EndpointBook {
@@ -70,9 +82,11 @@
     follow() {},
     listUsable: () => endpoints,
     getOccupancy: (endpoint) => endpoint.running,
+    getUnreadTokens: () => 0,
     receive() {},
     noteLoad() {},
     listLoads: () => [],
+    gatewayCount: 1,
     close() {},
   };
 }
@@ -125,8 +139,11 @@
       relativeWork: kind.serviceMs / meanMs,
       onTimeMs: 0.6 * kind.objectiveMs,
       patienceMs: 0.35 * kind.waitMs,
+      promptTokens: 0,
+      objectiveMs: kind.objectiveMs,
       arrivedAt,
       mayRepeat: true,
+      wasInterrupted: false,
       excluded: new Set(),
       onPlaced(endpoint) {
         const slowness = engines[endpoints.indexOf(endpoint)] ?? 1;
--- /dev/null
+++ b/test/unit/gateway/slotClaims.test.ts
@@ -0,0 +1,78 @@
+/** Gateways that share an engine's slots and hear of each other late. */
+
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { createSlotClaims } from '../../../src/gateway/slotClaims.js';
+
+const SLOTS = 10;
+const STEP_MS = 10;
+const REPORT_LAG_MS = 200;
+const MIN_WORK_MS = 300;
+const WORK_SPREAD_MS = 1_400;
+const RANDOM_MAX = 999_999;
+
+interface Plan {
+  gateways: number;
+  /** Gateways that always have requests waiting. */
+  busyGateways: number;
+  durationMs: number;
+  seed: number;
+}
+
+/** Requests at one engine, which begins empty, over time. */
+function playOccupancy({ gateways, busyGateways, durationMs, seed }: Plan): number[] {
+  const generator = xoroshiro128plus(seed);
+  const random = () => uniformInt(generator, 0, RANDOM_MAX) / (RANDOM_MAX + 1);
+  let time = 0;
+  const claims = Array.from({ length: gateways }, () => createSlotClaims(() => time, random));
+  const ends: number[][] = Array.from({ length: gateways }, () => []);
+  const history: number[][] = [];
+  const total: number[] = [];
+  for (; time < durationMs; time += STEP_MS) {
+    for (const [index, own] of ends.entries()) {
+      for (const end of own.filter((at) => at <= time)) {
+        own.splice(own.indexOf(end), 1);
+        claims[index]?.noteReleased();
+      }
+    }
+    const seen = history.at(-REPORT_LAG_MS / STEP_MS) ?? ends.map(() => 0);
+    for (const [index, own] of ends.entries()) {
+      const others = seen.reduce((sum, count, other) => sum + (other === index ? 0 : count), 0);
+      while (index < busyGateways) {
+        const free = SLOTS - own.length - others;
+        if (free < 1 || claims[index]?.mayPlace(free, gateways) !== true) break;
+        claims[index].notePlaced();
+        own.push(time + MIN_WORK_MS + random() * WORK_SPREAD_MS);
+      }
+    }
+    history.push(ends.map((own) => own.length));
+    total.push(ends.reduce((sum, own) => sum + own.length, 0));
+  }
+  return total;
+}
+
+function getMean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+describe('claims of slots', () => {
+  it('overfill an engine that has come back by less than half, and keep it busy', () => {
+    for (const gateways of [2, 4, 11]) {
+      for (const seed of [1, 2, 3]) {
+        const plan = { gateways, busyGateways: gateways, durationMs: 20_000, seed };
+        const occupancy = playOccupancy(plan);
+        const most = Math.max(...occupancy);
+        const mean = getMean(occupancy.slice(200));
+        assert.ok(most <= 1.5 * SLOTS, `${gateways} gateways, seed ${seed}: ${most} at most`);
+        assert.ok(mean >= 0.9 * SLOTS, `${gateways} gateways, seed ${seed}: mean ${mean}`);
+      }
+    }
+  });
+
+  it('leave all slots to the only gateway that has requests', () => {
+    const plan = { gateways: 11, busyGateways: 1, durationMs: 10_000, seed: 1 };
+    assert.ok(getMean(playOccupancy(plan).slice(200)) >= 0.7 * SLOTS);
+  });
+});
