--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -169,6 +169,11 @@
     }
   }
 
+  function findTeam(head: CallHead | undefined): string {
+    if (head?.key === undefined) return '';
+    return host.tryGetIndex()?.tryGetTeam(head.key)?.name ?? '';
+  }
+
   function refuse(
     writer: AnswerWriter,
     request: IncomingMessage,
@@ -181,8 +186,11 @@
       request: head?.id ?? '',
       host: head?.host ?? '',
       path: head?.path ?? request.url ?? '',
+      team: findTeam(head),
+      tokens: (head?.tokens?.prompt ?? 0) + (head?.tokens?.output ?? 0),
       status: answer.status,
       reason: answer.reason,
+      retryAfterMs: Math.round(answer.retryAfterMs ?? 0),
       revision: host.tryGetIndex()?.table.revision ?? 0,
     });
   }
