Serve routes by rank with a floor for each, and spread the return of refused callers

Change: routes by rank, short requests first within a rank and at every third place; a route that is served less than half as often as all takes the next place. Refused callers are given times to return one after the other, for a tenth of the places. What one send holds is a module of its own (activeSend.ts).

--- a/src/gateway/callRun.ts
+++ b/src/gateway/callRun.ts
@@ -2,15 +2,21 @@
 
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logging.js';
+import { createActiveSend, type ActiveSend } from './activeSend.js';
 import type { AnswerWriter, OwnAnswer } from './answerWriter.js';
 import type { Endpoint, EndpointBook } from './endpointBook.js';
-import type { Sending } from './endpointClient.js';
 import { createEventSplitter } from './eventSplitter.js';
 import { getDigest, type CrashSuspects } from './crashSuspects.js';
 import type { RetryBudget } from './retryBudget.js';
-import { decideNextStep, giveUp, mayRunAgain, type NextStep } from './retryPolicy.js';
+import {
+  decideNextStep,
+  describeSendFailure,
+  giveUp,
+  mayRunAgain,
+  type NextStep,
+} from './retryPolicy.js';
 import type { PlaceRequest, RefusalReason, Scheduler } from './scheduler.js';
-import type { StallWatch, WatchedSend } from './stallWatch.js';
+import type { StallWatch } from './stallWatch.js';
 import type { AnswerHead, Call, Dialect, SendFailure } from './types.js';
 
 /** Larger answers are passed on as they arrive, and are not repeated once they have begun. */
@@ -60,22 +66,6 @@
   resume(): void;
 }
 
-interface Send {
-  endpoint: Endpoint;
-  sending: Sending | undefined;
-  sentAt: number;
-  /** Prompt tokens that the endpoint had to read for this and earlier requests. */
-  tokensToRead: number;
-  head: AnswerHead | undefined;
-  chunks: Buffer[];
-  /** Pieces of a stream so far, and when the first came. */
-  pieces: number;
-  firstAt: number;
-  lastAt: number | undefined;
-  watched: WatchedSend | undefined;
-  bytes: number;
-}
-
 /** Starts a run. */
 export function startCallRun(host: CallRunHost, call: Call, writer: AnswerWriter): CallRun {
   const { clock, logger, scheduler, book, budget, dialect } = host;
@@ -84,7 +74,7 @@
   const splitter = isStream && route.isResumable ? createEventSplitter() : undefined;
   const excluded = new Set<string>();
   let isOver = false;
-  let current: Send | undefined;
+  let current: ActiveSend | undefined;
   let lastEndpoint = '';
   let sendCount = 0;
   let runCount = 0;
@@ -95,6 +85,7 @@
   let callerHeardAt = call.arrivedAt;
   const place: PlaceRequest = {
     pool: call.pool,
+    route: route.name,
     teamRank: call.team?.rank ?? 0,
     routeRank: route.rank,
     relativeWork: call.relativeWork,
@@ -143,21 +134,8 @@
     lastEndpoint = endpoint.announcement.endpointId;
     excluded.add(lastEndpoint);
     const resumeAfter = splitter?.lastEventId;
-    const started: Send = {
-      endpoint,
-      sending: undefined,
-      sentAt: now,
-      tokensToRead: book.getUnreadTokens(endpoint) + place.promptTokens,
-      head: undefined,
-      chunks: [],
-      pieces: 0,
-      firstAt: 0,
-      lastAt: undefined,
-      watched: undefined,
-      bytes: 0,
-    };
+    const started = createActiveSend(endpoint, place.promptTokens, book, () => clock.now());
     current = started;
-    endpoint.unreadTokens += place.promptTokens;
     watch(started);
     const headers = dialect.toEndpointHeaders(callHead, {
       endpointId: lastEndpoint,
@@ -178,11 +156,11 @@
     );
   }
 
-  function watch(active: Send): void {
+  function watch(active: ActiveSend): void {
     active.watched = {
       route,
       sentAt: active.sentAt,
-      getPieceAt: () => active.lastAt,
+      getPieceAt: () => active.heardAt,
       getEndpointHeardAt: () => active.endpoint.heardAt,
       onStalled: (reason) => leaveStalled(active, reason),
     };
@@ -190,7 +168,7 @@
   }
 
   /** Gives up a send that hangs for another one; where there is none it may still go on. */
-  function leaveStalled(active: Send, reason: string): void {
+  function leaveStalled(active: ActiveSend, reason: string): void {
     if (!scheduler.hasPlace(place)) {
       watch(active);
       return;
@@ -200,7 +178,7 @@
     if (step.kind === 'sendAgain') failSend(active, failure, step);
   }
 
-  function handleHead(active: Send, status: number, rawHeaders: readonly Buffer[]): void {
+  function handleHead(active: ActiveSend, status: number, rawHeaders: readonly Buffer[]): void {
     const head = dialect.readAnswer(status, rawHeaders);
     const { endpoint } = active;
     endpoint.heardAt = clock.now();
@@ -219,28 +197,20 @@
     }
   }
 
-  function handleData(active: Send, chunk: Buffer): boolean {
+  function handleData(active: ActiveSend, chunk: Buffer): boolean {
     const { head } = active;
-    const now = clock.now();
-    pauseMs = Math.max(pauseMs, now - (active.lastAt ?? now));
-    active.lastAt = now;
-    active.endpoint.heardAt = now;
-    active.endpoint.health.noteHeard(now);
+    pauseMs = Math.max(pauseMs, active.noteBytes());
     if (head === undefined) return true;
     const isSuccess = head.status >= 200 && head.status < 300;
     if (isStream && isSuccess) return passOn(active, head, chunk);
-    active.chunks.push(chunk);
-    active.bytes += chunk.length;
-    if (active.bytes <= MAX_WHOLE_ANSWER_BYTES) return true;
+    active.keep(chunk);
+    if (active.keptBytes <= MAX_WHOLE_ANSWER_BYTES) return true;
     if (!writer.hasBegun) beginAnswer(head);
-    const bytes = Buffer.concat(active.chunks);
-    active.chunks = [];
-    return writer.write(bytes);
+    return writer.write(active.takeKept());
   }
 
-  function passOn(active: Send, head: AnswerHead, chunk: Buffer): boolean {
-    if (active.pieces === 0) noteBegun(active);
-    active.pieces += 1;
+  function passOn(active: ActiveSend, head: AnswerHead, chunk: Buffer): boolean {
+    active.notePiece();
     const bytes = splitter === undefined ? chunk : splitter.push(chunk);
     if (bytes === undefined) return true;
     if (!writer.hasBegun) beginAnswer(head);
@@ -248,19 +218,12 @@
     return writer.write(bytes);
   }
 
-  function noteBegun(active: Send): void {
-    active.firstAt = clock.now();
-    const { endpoint, tokensToRead, sentAt, firstAt } = active;
-    endpoint.unreadTokens -= place.promptTokens;
-    if (tokensToRead > 0) endpoint.pace.noteBegun(tokensToRead, firstAt - sentAt);
-  }
-
   function beginAnswer(head: AnswerHead): void {
     firstMs = clock.now() - call.arrivedAt;
     writer.begin(head);
   }
 
-  function handleEnd(active: Send): void {
+  function handleEnd(active: ActiveSend): void {
     const { head } = active;
     if (head === undefined) {
       failSend(active, { kind: 'unknown', reason: 'ended without an answer' });
@@ -274,7 +237,7 @@
     if (isFailure && shouldRepeat(active, head)) return;
     if (isFailure) active.endpoint.health.noteFailedAnswer(clock.now());
     else active.endpoint.health.noteSuccess();
-    if (active.pieces > 0) active.endpoint.pace.note(active.pieces, clock.now() - active.firstAt);
+    active.noteWhole();
     if (writer.hasBegun && head.status >= 300) {
       // A continuation was answered with a failure: what the caller has is not whole.
       abandon(active, 'failed', 0, `continuation answered ${head.status}`);
@@ -282,18 +245,19 @@
     }
     runCount += 1;
     endSend(active);
+    const rest = active.takeKept();
     if (writer.hasBegun) {
-      if (active.chunks.length > 0) writer.write(Buffer.concat(active.chunks));
+      if (rest.length > 0) writer.write(rest);
       writer.end();
     } else {
       firstMs = clock.now() - call.arrivedAt;
-      writer.writeWhole(head, Buffer.concat(active.chunks));
+      writer.writeWhole(head, rest);
     }
     finish('answered', head.status, '');
   }
 
   /** Whether an endpoint's own failure is answered by sending again. */
-  function shouldRepeat(active: Send, head: AnswerHead): boolean {
+  function shouldRepeat(active: ActiveSend, head: AnswerHead): boolean {
     const failure: SendFailure = { kind: 'failed', status: head.status };
     const step = decide(failure, runCount + 1);
     if (step.kind !== 'sendAgain') return false;
@@ -301,7 +265,7 @@
     return true;
   }
 
-  function handleBroken(active: Send, wasSent: boolean, reason: string): void {
+  function handleBroken(active: ActiveSend, wasSent: boolean, reason: string): void {
     if (!wasSent) {
       failSend(active, { kind: 'notSent', reason });
       return;
@@ -314,7 +278,7 @@
     failSend(active, { kind: 'unknown', reason });
   }
 
-  function failSend(active: Send, failure: SendFailure, decided?: NextStep): void {
+  function failSend(active: ActiveSend, failure: SendFailure, decided?: NextStep): void {
     noteFailure(active.endpoint, failure);
     active.sending?.abort();
     endSend(active);
@@ -382,7 +346,7 @@
   }
 
   function abandon(
-    active: Send,
+    active: ActiveSend,
     outcome: CallSummary['outcome'],
     status: number,
     reason: string,
@@ -399,10 +363,10 @@
     finish('timedOut', 504, current === undefined ? 'no place' : 'no answer');
   }
 
-  function endSend(active: Send): void {
+  function endSend(active: ActiveSend): void {
     if (current !== active) return;
     current = undefined;
-    if (active.pieces === 0) active.endpoint.unreadTokens -= place.promptTokens;
+    active.close();
     if (active.watched !== undefined) host.stalls.remove(active.watched);
     releasePlace(active.endpoint);
   }
@@ -436,13 +400,3 @@
     });
   }
 }
-
-function describeSendFailure(failure: SendFailure): string {
-  switch (failure.kind) {
-    case 'notSent':
-    case 'unknown':
-      return `${failure.kind}: ${failure.reason}`;
-    default:
-      return `${failure.kind}: ${failure.status}`;
-  }
-}
--- a/src/gateway/retryPolicy.ts
+++ b/src/gateway/retryPolicy.ts
@@ -64,3 +64,14 @@
   if (runCount >= route.maxAttempts || remainingMs <= MIN_REMAINING_MS) return false;
   return mayRunAgain(route) && (route.kind === 'stream' || !hasBegun);
 }
+
+/** A failure in words, for log lines. */
+export function describeSendFailure(failure: SendFailure): string {
+  switch (failure.kind) {
+    case 'notSent':
+    case 'unknown':
+      return `${failure.kind}: ${failure.reason}`;
+    default:
+      return `${failure.kind}: ${failure.status}`;
+  }
+}
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -6,6 +6,7 @@
 
 import type { Endpoint, EndpointBook } from './endpointBook.js';
 import { tryChooseEndpoint, type Candidate } from './placement.js';
+import { createServiceShares, type ServiceShares } from './serviceShares.js';
 import { getRank } from './urgency.js';
 import { createWaitingQueue, type Waiting, type WaitingQueue } from './waitingQueue.js';
 
@@ -15,14 +16,19 @@
 /** Requests beyond its slots that a plain service may hold, since its work is short. */
 const SERVICE_QUEUE = 6;
 const MIN_RETRY_AFTER_MS = 250;
+/** Share of the placements that is left to callers that come back after a refusal. */
+const RETURN_SHARE = 0.1;
 /** Requests that would wait longer are refused, so that the queue holds what can soon be served. */
 const MAX_WAIT_MS = 1_200;
 /** Work against the pool's mean below which a request counts as short. */
 const SHORT_WORK = 0.4;
+/** One in so many places goes to the first short request whatever its route, so that none starves. */
+const SHORT_TURN = 3;
 
 /** A request that asks for a place. */
 export interface PlaceRequest {
   pool: string;
+  route: string;
   teamRank: number;
   routeRank: number;
   /** Work against the mean of the pool. */
@@ -73,6 +79,7 @@
 
 interface Entry extends Waiting {
   request: PlaceRequest;
+  isShort: boolean;
   /** When it no longer meets its objective; undefined once that is so. */
   lateAt: number | undefined;
   giveUpAt: number;
@@ -82,6 +89,10 @@
   queue: WaitingQueue<Entry>;
   /** Times of the last placements. */
   placedAt: number[];
+  placedCount: number;
+  shares: ServiceShares;
+  /** When the next caller that is refused may come back. */
+  nextReturnAt: number;
 }
 
 /** Creates a scheduler. */
@@ -106,24 +117,28 @@
   function submit(request: PlaceRequest): void {
     const state = getPool(request.pool);
     const now = host.now();
+    if (!request.wasInterrupted) state.shares.noteAsked(request.route);
     const isLate = request.onTimeMs <= 0;
-    const waiting = { rank: rankOf(request, isLate), arrivedAt: request.arrivedAt };
-    if (state.queue.countBefore(waiting) === 0 && tryPlace(state, request)) return;
-    const waitMs = estimateWaitMs(state, waiting);
+    const { arrivedAt } = request;
+    const isShort = request.relativeWork < SHORT_WORK;
+    const lateAt = isLate ? undefined : now + request.onTimeMs;
+    const giveUpAt = now + request.patienceMs;
+    const rank = rankOf(request, isLate);
+    const entry: Entry = { rank, arrivedAt, request, isShort, lateAt, giveUpAt };
+    if (state.queue.countBefore(entry) === 0 && tryPlace(state, request)) return;
+    const waitMs = estimateWaitMs(state, entry);
     const longestMs = Math.min(request.patienceMs, MAX_WAIT_MS);
     if (waitMs > longestMs && !request.wasInterrupted) {
-      request.onRefused('overload', getRetryAfterMs(waitMs));
+      request.onRefused('overload', getRetryAfterMs(state, waitMs));
       return;
     }
-    const lateAt = isLate ? undefined : now + request.onTimeMs;
-    const entry: Entry = { ...waiting, request, lateAt, giveUpAt: now + request.patienceMs };
     entries.set(request, entry);
     state.queue.push(entry);
   }
 
   function rankOf(request: PlaceRequest, isLate: boolean): number {
-    const { teamRank, routeRank, wasInterrupted } = request;
-    const isShort = request.relativeWork < SHORT_WORK;
+    const { teamRank, routeRank, wasInterrupted, relativeWork } = request;
+    const isShort = relativeWork < SHORT_WORK;
     return getRank({ teamRank, routeRank, isLate, isShort, wasInterrupted });
   }
 
@@ -147,7 +162,7 @@
     const { request } = entry;
     if (entry.giveUpAt <= now) {
       withdraw(request);
-      request.onRefused('overload', getRetryAfterMs(estimateWaitMs(state, entry)));
+      request.onRefused('overload', getRetryAfterMs(state, estimateWaitMs(state, entry)));
       return;
     }
     if (entry.lateAt === undefined || entry.lateAt > now) return;
@@ -159,7 +174,8 @@
 
   function pump(pool: string): void {
     const state = getPool(pool);
-    for (const entry of state.queue) {
+    for (const entry of listInTurn(state)) {
+      if (!entries.has(entry.request)) continue;
       if (tryPlace(state, entry.request)) {
         withdraw(entry.request);
         continue;
@@ -169,6 +185,23 @@
     }
   }
 
+  /** Waiting requests as they are placed: those whose turn it is first, the others by the order. */
+  function listInTurn(state: PoolState): Entry[] {
+    const waiting = [...state.queue];
+    const [first] = waiting;
+    const inTurn = waiting.find((entry) => isAlike(entry, first) && isItsTurn(state, entry));
+    return inTurn === undefined ? waiting : [inTurn, ...waiting];
+  }
+
+  function isItsTurn({ shares, placedCount }: PoolState, { isShort, request }: Entry): boolean {
+    return (isShort && placedCount % SHORT_TURN === 0) || shares.isBelowFloor(request.route);
+  }
+
+  /** Whether two requests differ in nothing but their routes' rank and their sizes. */
+  function isAlike(entry: Entry, other: Entry | undefined): boolean {
+    return entry.request.teamRank === other?.request.teamRank;
+  }
+
   function tryChoose(request: PlaceRequest): Endpoint | undefined {
     const candidates: Candidate<Endpoint>[] = [];
     const isEngine = host.isEngine(request.pool);
@@ -193,7 +226,7 @@
   function tryPlace(state: PoolState, request: PlaceRequest): boolean {
     const endpoint = tryChoose(request);
     if (endpoint === undefined) return false;
-    notePlaced(state);
+    notePlaced(state, request);
     if (endpoint.running === 0) endpoint.heardAt = host.now();
     endpoint.running += 1;
     endpoint.claims.notePlaced();
@@ -202,9 +235,11 @@
     return true;
   }
 
-  function notePlaced(state: PoolState): void {
+  function notePlaced(state: PoolState, request: PlaceRequest): void {
     const now = host.now();
+    state.shares.notePlaced(request.route);
     state.placedAt.push(now);
+    state.placedCount += 1;
     forgetOld(state, now);
   }
 
@@ -214,22 +249,45 @@
   }
 
   /** Time until a request would get a place, from the rate at which places have become free. */
-  function estimateWaitMs(state: PoolState, waiting: Waiting): number {
+  function estimateWaitMs(state: PoolState, entry: Entry): number {
     forgetOld(state, host.now());
-    const before = state.queue.countBefore(waiting) + 1;
-    const rate = Math.max(state.placedAt.length, 1) / RATE_WINDOW_MS;
-    return before / rate;
+    const rate = getRate(state);
+    let shorts = 1;
+    let ofRoute = 1;
+    for (const other of state.queue) {
+      if (!isAlike(other, entry) || other.arrivedAt > entry.arrivedAt) continue;
+      if (other.isShort) shorts += 1;
+      if (other.request.route === entry.request.route) ofRoute += 1;
+    }
+    const byOrder = (state.queue.countBefore(entry) + 1) / rate;
+    const byFloor = ofRoute / state.shares.getFloorRate(entry.request.route);
+    const byTurn = entry.isShort ? (shorts * SHORT_TURN) / rate : byOrder;
+    return Math.min(byOrder, byFloor, byTurn);
   }
 
-  function getRetryAfterMs(waitMs: number): number {
-    // Spread, so that those who were refused together do not return together.
-    return Math.max(MIN_RETRY_AFTER_MS, waitMs) * (0.75 + host.random() / 2);
+  /** Placements a millisecond. */
+  function getRate({ placedAt }: PoolState): number {
+    return Math.max(placedAt.length, 1) / RATE_WINDOW_MS;
+  }
+
+  /** Callers return one after the other, so that they find room among those that come new. */
+  function getRetryAfterMs(state: PoolState, waitMs: number): number {
+    const now = host.now();
+    const returnAt = Math.max(now + Math.max(MIN_RETRY_AFTER_MS, waitMs), state.nextReturnAt);
+    state.nextReturnAt = returnAt + 1 / (RETURN_SHARE * getRate(state));
+    return (returnAt - now) * (0.9 + host.random() / 5);
   }
 
   function getPool(pool: string): PoolState {
     const known = pools.get(pool);
     if (known !== undefined) return known;
-    const created = { queue: createWaitingQueue<Entry>(), placedAt: [] };
+    const created: PoolState = {
+      queue: createWaitingQueue<Entry>(),
+      placedAt: [],
+      placedCount: 0,
+      shares: createServiceShares(host.now),
+      nextReturnAt: 0,
+    };
     pools.set(pool, created);
     return created;
   }
