Lose endpoints' answers in the soak too

Cause: a mutation that sends again what may run once only was not found by the soak, since nothing broke connections to endpoints. Change: endpoints close all connections at times.

--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -1,4 +1,4 @@
-/** Faults of the soak: signals to processes, and what proxies do to connections. */
+/** Faults of the soak: signals to processes, what proxies do to connections, lost answers. */
 
 import { delay } from '../fixtures/deployment.js';
 import type { GatewayDeployment } from '../fixtures/gatewayDeployment.js';
@@ -32,9 +32,10 @@
 
   function start(): StartedFault {
     const all = { ...onProcess, ...onConnections };
-    const names = [...Object.keys(all), 'killAllKeepers'];
+    const names = [...Object.keys(all), 'killAllKeepers', 'loseAnswers'];
     const name = pick(names);
     if (name === 'killAllKeepers') return { name, done: killAllKeepers() };
+    if (name === 'loseAnswers') return { name, done: loseAnswers() };
     const id = pick([...deployment.gatewayIds, ...deployment.keeperIds]);
     const inject = all[name];
     if (inject === undefined || disturbed.has(id)) return { name: 'none', done: Promise.resolve() };
@@ -61,6 +62,10 @@
     for (const id of free) disturbed.delete(id);
   }
 
+  async function loseAnswers(): Promise<void> {
+    pick(deployment.endpoints).loseAnswers();
+  }
+
   async function terminate(id: string): Promise<void> {
     await deployment.getProcess(id).stop();
     deployment.restart(id);
