Bring the counts of served routes up to date in steps

Cause: every waiting request asks at each placement whether its route is served too seldom, and each question decayed all counts. Change: counts decay in steps of 20 ms.

--- a/src/gateway/serviceShares.ts
+++ b/src/gateway/serviceShares.ts
@@ -7,6 +7,8 @@
 const FLOOR = 0.5;
 /** Time in which a count loses all but 1/e of its weight. */
 const MEMORY_MS = 5_000;
+/** Counts are brought up to date only so often, since every waiting request asks for them. */
+const DECAY_STEP_MS = 20;
 
 /** Service of the routes of one pool. */
 export interface ServiceShares {
@@ -65,7 +67,7 @@
 
   function decay(): void {
     const time = now();
-    if (time === decayedAt) return;
+    if (time - decayedAt < DECAY_STEP_MS) return;
     const kept = Math.exp((decayedAt - time) / MEMORY_MS);
     decayedAt = time;
     for (const counts of [total, ...routes.values()]) {
