Tell other gateways only of outages seen here

Cause: read in the diff: an endpoint doubted because of another gateway's report was reported as out in turn, so two gateways kept up each other's doubts, and an endpoint with little traffic got one request at a time long after it was back. Ruled out: endpoints with traffic, whose answers within 300 ms count for more. Change: doubts at second hand are not reported. The test failed on the code before.

--- a/src/gateway/endpointHealth.ts
+++ b/src/gateway/endpointHealth.ts
@@ -24,6 +24,7 @@
 
 /** State of one endpoint. */
 export interface EndpointHealth {
+  /** Whether failures seen here took it out and it has not answered since. */
   readonly isOut: boolean;
   /** Whether a new request may go there. */
   isUsable(now: number, trial: Trial): boolean;
@@ -47,6 +48,7 @@
   let outUntil = 0;
   let outMs = OUT_MIN_MS;
   let isOnProbation = false;
+  let isOutElsewhere = false;
 
   return {
     get isOut() {
@@ -54,10 +56,12 @@
     },
     isUsable,
     noteHeard(now) {
+      isOutElsewhere = false;
       if (now >= outUntil) isOnProbation = false;
     },
     noteOutElsewhere() {
-      isOnProbation = true;
+      // Not told on: two gateways would else keep up each other's doubts.
+      isOutElsewhere = true;
     },
     noteSuccess() {
       failuresInRow = 0;
@@ -71,7 +75,7 @@
 
   function isUsable(now: number, { running, mayRepeat }: Trial): boolean {
     if (now < outUntil) return false;
-    if (!isOnProbation) return true;
+    if (!isOnProbation && !isOutElsewhere) return true;
     if (running > 0) return false;
     return mayRepeat || now >= outUntil + REPEATABLE_FIRST_MS;
   }
--- a/test/unit/gateway/endpointHealth.test.ts
+++ b/test/unit/gateway/endpointHealth.test.ts
@@ -44,6 +44,7 @@
   it('doubts an endpoint that another gateway has taken out', () => {
     const health = createEndpointHealth();
     health.noteOutElsewhere();
+    assert.ok(!health.isOut, 'only what was seen here is told on');
     assert.ok(health.isUsable(0, idle));
     assert.ok(!health.isUsable(0, busy));
     health.noteHeard(10);
