Bound the time after which refused callers are told to come back

Cause: read in the diff: each refusal moves the time of the next return on, without a bound; after a long overload callers would be told to stay away though there is room. Change: 5 s at most, spread by a tenth.

--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -20,6 +20,8 @@
 const RETURN_SHARE = 0.1;
 /** Requests that would wait longer are refused, so that the queue holds what can soon be served. */
 const MAX_WAIT_MS = 1_200;
+/** Longest time after which a refused caller is told to come back. */
+const RETURN_HORIZON_MS = 5_000;
 /** Work against the pool's mean below which a request counts as short. */
 const SHORT_WORK = 0.4;
 /** One in so many places goes to the first short request whatever its route, so that none starves. */
@@ -273,7 +275,8 @@
   /** Callers return one after the other, so that they find room among those that come new. */
   function getRetryAfterMs(state: PoolState, waitMs: number): number {
     const now = host.now();
-    const returnAt = Math.max(now + Math.max(MIN_RETRY_AFTER_MS, waitMs), state.nextReturnAt);
+    const earliest = Math.max(now + Math.max(MIN_RETRY_AFTER_MS, waitMs), state.nextReturnAt);
+    const returnAt = Math.min(earliest, now + RETURN_HORIZON_MS);
     state.nextReturnAt = returnAt + 1 / (RETURN_SHARE * getRate(state));
     return (returnAt - now) * (0.9 + host.random() / 5);
   }
--- a/test/unit/gateway/scheduler.test.ts
+++ b/test/unit/gateway/scheduler.test.ts
@@ -331,4 +331,37 @@
       assert.ok(refusedAgain <= 0.5 * returned, `${name}: ${refusedAgain} of ${returned}`);
     }
   });
+
+  it('tells no caller to stay away for long, however many were refused before', () => {
+    const scheduler = createScheduler({
+      now: () => 0,
+      random: () => 0.5,
+      book: createBook([]),
+      isEngine: () => true,
+    });
+    let longestMs = 0;
+    for (let count = 0; count < 2_000; count += 1) {
+      scheduler.submit({
+        pool: POOL,
+        route: 'route',
+        teamRank: 0,
+        routeRank: 0,
+        relativeWork: 1,
+        promptTokens: 0,
+        objectiveMs: 500,
+        arrivedAt: 0,
+        onTimeMs: 300,
+        patienceMs: 0,
+        mayRepeat: true,
+        wasInterrupted: false,
+        excluded: new Set(),
+        onPlaced() {},
+        onRefused(_reason, retryAfterMs) {
+          longestMs = Math.max(longestMs, retryAfterMs);
+        },
+      });
+    }
+    scheduler.close();
+    assert.ok(longestMs > 0 && longestMs <= 5_500, `${longestMs} ms`);
+  });
 });
