--- a/test/unit/gateway/scheduler.test.ts
+++ b/test/unit/gateway/scheduler.test.ts
@@ -340,27 +340,26 @@
       isEngine: () => true,
     });
     let longestMs = 0;
-    for (let count = 0; count < 2_000; count += 1) {
-      scheduler.submit({
-        pool: POOL,
-        route: 'route',
-        teamRank: 0,
-        routeRank: 0,
-        relativeWork: 1,
-        promptTokens: 0,
-        objectiveMs: 500,
-        arrivedAt: 0,
-        onTimeMs: 300,
-        patienceMs: 0,
-        mayRepeat: true,
-        wasInterrupted: false,
-        excluded: new Set(),
-        onPlaced() {},
-        onRefused(_reason, retryAfterMs) {
-          longestMs = Math.max(longestMs, retryAfterMs);
-        },
-      });
-    }
+    const createRequest = (): PlaceRequest => ({
+      pool: POOL,
+      route: 'route',
+      teamRank: 0,
+      routeRank: 0,
+      relativeWork: 1,
+      promptTokens: 0,
+      objectiveMs: 500,
+      arrivedAt: 0,
+      onTimeMs: 300,
+      patienceMs: 0,
+      mayRepeat: true,
+      wasInterrupted: false,
+      excluded: new Set(),
+      onPlaced() {},
+      onRefused(_reason, retryAfterMs) {
+        longestMs = Math.max(longestMs, retryAfterMs);
+      },
+    });
+    for (let count = 0; count < 2_000; count += 1) scheduler.submit(createRequest());
     scheduler.close();
     assert.ok(longestMs > 0 && longestMs <= 5_500, `${longestMs} ms`);
   });
