--- a/test/unit/gateway/callRun.test.ts
+++ b/test/unit/gateway/callRun.test.ts
@@ -6,13 +6,11 @@
 import { startCallRun, type CallRun, type CallSummary } from '../../../src/gateway/callRun.js';
 import type { Endpoint } from '../../../src/gateway/endpointBook.js';
 import type { SendEvents } from '../../../src/gateway/endpointClient.js';
-import { createEndpointHealth } from '../../../src/gateway/endpointHealth.js';
-import { createEndpointPace } from '../../../src/gateway/endpointPace.js';
-import { createSlotClaims } from '../../../src/gateway/slotClaims.js';
 import type { PlaceRequest } from '../../../src/gateway/scheduler.js';
 import type { WatchedSend } from '../../../src/gateway/stallWatch.js';
 import type { AnswerHead, Call } from '../../../src/gateway/types.js';
 import type { Route, RouteKind } from '../../../src/routing/types.js';
+import { createTestEndpoint } from '../../fixtures/gatewayEndpoint.js';
 
 const ARRIVED_AT = 1_000;
 const WAIT_MS = 10_000;
@@ -154,38 +152,17 @@
 }
 
 function createEndpoint(sends: SendEvents[]): Endpoint {
-  const announcement = {
-    endpointId: `endpoint-${sends.length}`,
-    bornAtMs: 1,
-    sequence: 1,
-    state: 'ready',
+  const endpoint = createTestEndpoint({
+    id: `endpoint-${sends.length}`,
     pool: 'pool',
-    address: '',
-    failureDomain: '',
     slots: 1,
-    warmingForMs: 0,
-  };
-  const client = {
-    send(_request: unknown, events: SendEvents) {
+    send(_request, events) {
       sends.push(events);
       return { resume() {}, abort() {} };
     },
-    isReachable: () => Promise.resolve(true),
-    close() {},
-  };
-  const [health, pace] = [createEndpointHealth(), createEndpointPace()];
-  const claims = createSlotClaims(() => 0, Math.random);
-  return {
-    announcement,
-    client,
-    health,
-    pace,
-    claims,
-    running: 1,
-    unreadTokens: 0,
-    heardAt: 0,
-    stated: undefined,
-  };
+  });
+  endpoint.running = 1;
+  return endpoint;
 }
 
 describe('the run of a request', () => {
--- a/test/unit/gateway/scheduler.test.ts
+++ b/test/unit/gateway/scheduler.test.ts
@@ -5,10 +5,8 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { Endpoint, EndpointBook } from '../../../src/gateway/endpointBook.js';
-import { createEndpointHealth } from '../../../src/gateway/endpointHealth.js';
-import { createEndpointPace } from '../../../src/gateway/endpointPace.js';
-import { createSlotClaims } from '../../../src/gateway/slotClaims.js';
 import { createScheduler, type PlaceRequest } from '../../../src/gateway/scheduler.js';
+import { createTestEndpoint } from '../../fixtures/gatewayEndpoint.js';
 
 const POOL = 'engines';
 const SLOTS = 10;
@@ -51,35 +49,7 @@
 }
 
 function createEndpoint(index: number): Endpoint {
-  const announcement = {
-    endpointId: `engine-${index}`,
-    bornAtMs: 1,
-    sequence: 1,
-    state: 'ready',
-    pool: POOL,
-    address: '',
-    failureDomain: '',
-    slots: SLOTS,
-    warmingForMs: 0,
-  };
-  const client = {
-    send: () => ({ resume() {}, abort() {} }),
-    isReachable: () => Promise.resolve(true),
-    close() {},
-  };
-  const [health, pace] = [createEndpointHealth(), createEndpointPace()];
-  const claims = createSlotClaims(() => 0, Math.random);
-  return {
-    announcement,
-    client,
-    health,
-    pace,
-    claims,
-    running: 0,
-    unreadTokens: 0,
-    heardAt: 0,
-    stated: undefined,
-  };
+  return createTestEndpoint({ id: `engine-${index}`, pool: POOL, slots: SLOTS });
 }
 
 function createBook(endpoints: Endpoint[]): EndpointBook {
