--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -198,6 +198,7 @@
       placedMs: Math.round(summary.placedMs),
       firstMs: Math.round(summary.firstMs),
       totalMs: Math.round(summary.totalMs),
+      pauseMs: Math.round(summary.pauseMs),
     });
     measures.count('gatewayCalls', 1, { route: route.name, outcome });
     measures.count('gatewaySends', sendCount, { pool });
--- a/src/gateway/callRun.ts
+++ b/src/gateway/callRun.ts
@@ -48,6 +48,8 @@
   placedMs: number;
   firstMs: number;
   totalMs: number;
+  /** Longest time between two pieces of a stream, in milliseconds. */
+  pauseMs: number;
 }
 
 /** A running request. */
@@ -85,6 +87,7 @@
   let runCount = 0;
   let placedMs = 0;
   let firstMs = 0;
+  let pauseMs = 0;
   const place: PlaceRequest = {
     pool: call.pool,
     teamRank: call.team?.rank ?? 0,
@@ -191,8 +194,10 @@
 
   function handleData(active: Send, chunk: Buffer): boolean {
     const { head } = active;
-    active.lastAt = clock.now();
-    active.endpoint.heardAt = active.lastAt;
+    const now = clock.now();
+    pauseMs = Math.max(pauseMs, now - (active.lastAt ?? now));
+    active.lastAt = now;
+    active.endpoint.heardAt = now;
     if (head === undefined) return true;
     const isSuccess = head.status >= 200 && head.status < 300;
     if (isStream && isSuccess) return passOn(active, head, chunk);
@@ -378,8 +383,18 @@
       endSend(current);
     }
     const totalMs = clock.now() - call.arrivedAt;
-    const endpoint = lastEndpoint;
-    host.onEnd({ call, outcome, status, reason, endpoint, sendCount, placedMs, firstMs, totalMs });
+    host.onEnd({
+      call,
+      outcome,
+      status,
+      reason,
+      endpoint: lastEndpoint,
+      sendCount,
+      placedMs,
+      firstMs,
+      totalMs,
+      pauseMs,
+    });
   }
 }
 
