--- /dev/null
+++ b/test/soak/faults.ts
@@ -0,0 +1,107 @@
+/** Faults of the soak: signals to processes, and what proxies do to connections. */
+
+import { delay } from '../fixtures/deployment.js';
+import type { GatewayDeployment } from '../fixtures/gatewayDeployment.js';
+
+const MAX_FREEZE_MS = 2_500;
+const MAX_CUT_MS = 3_000;
+const MAX_DELAY_MS = 150;
+const MAX_DOWN_MS = 800;
+
+/** A fault under way. */
+export interface StartedFault {
+  name: string;
+  /** Resolves when the fault is over. */
+  done: Promise<void>;
+}
+
+/** Injects faults, never two of the same process at once. */
+export interface Faults {
+  start(): StartedFault;
+}
+
+type Inject = (id: string) => Promise<void>;
+
+/** Creates the faults of a deployment; `random` gives numbers from 0 to 1. */
+export function createFaults(deployment: GatewayDeployment, random: () => number): Faults {
+  const disturbed = new Set<string>();
+  const onProcess: Record<string, Inject> = { kill, terminate, freeze };
+  const onConnections: Record<string, Inject> = { cut, silence, reset, slow, oneWay };
+
+  return { start };
+
+  function start(): StartedFault {
+    const all = { ...onProcess, ...onConnections };
+    const names = [...Object.keys(all), 'killAllKeepers'];
+    const name = pick(names);
+    if (name === 'killAllKeepers') return { name, done: killAllKeepers() };
+    const id = pick([...deployment.gatewayIds, ...deployment.keeperIds]);
+    const inject = all[name];
+    if (inject === undefined || disturbed.has(id)) return { name: 'none', done: Promise.resolve() };
+    disturbed.add(id);
+    const done = inject(id).finally(() => disturbed.delete(id));
+    return { name: `${name} ${id}`, done };
+  }
+
+  function pick<T>(items: readonly T[]): T {
+    return items[Math.floor(random() * items.length)]!;
+  }
+
+  async function kill(id: string): Promise<void> {
+    const pauseMs = random() * MAX_DOWN_MS;
+    await deployment.getProcess(id).kill();
+    await delay(pauseMs);
+    deployment.restart(id);
+  }
+
+  async function killAllKeepers(): Promise<void> {
+    const free = deployment.keeperIds.filter((id) => !disturbed.has(id));
+    for (const id of free) disturbed.add(id);
+    await Promise.all(free.map(kill));
+    for (const id of free) disturbed.delete(id);
+  }
+
+  async function terminate(id: string): Promise<void> {
+    await deployment.getProcess(id).stop();
+    deployment.restart(id);
+  }
+
+  async function freeze(id: string): Promise<void> {
+    const child = deployment.getProcess(id);
+    child.signal('SIGSTOP');
+    await delay(random() * MAX_FREEZE_MS);
+    child.signal('SIGCONT');
+  }
+
+  async function cut(id: string): Promise<void> {
+    for (const proxy of deployment.listProxies(id)) proxy.cut();
+    await healLater(id);
+  }
+
+  async function silence(id: string): Promise<void> {
+    for (const proxy of deployment.listProxies(id)) proxy.silence();
+  }
+
+  async function reset(id: string): Promise<void> {
+    for (const proxy of deployment.listProxies(id)) proxy.reset();
+  }
+
+  async function slow(id: string): Promise<void> {
+    const delayMs = random() * MAX_DELAY_MS;
+    for (const proxy of deployment.listProxies(id)) proxy.setDelay(delayMs);
+    await healLater(id);
+  }
+
+  async function oneWay(id: string): Promise<void> {
+    const toTarget = random() < 0.5;
+    for (const proxy of deployment.listProxies(id)) {
+      proxy.setFlow(toTarget ? 'drop' : 'pass', toTarget ? 'pass' : 'drop');
+    }
+    await healLater(id);
+  }
+
+  async function healLater(id: string): Promise<void> {
+    await delay(random() * MAX_CUT_MS);
+    for (const proxy of deployment.listProxies(id)) proxy.heal();
+  }
+}
--- /dev/null
+++ b/test/soak/soak.ts
@@ -0,0 +1,191 @@
+/**
+ * A seeded soak: real keepers and gateways under faults from outside that come in series and
+ * overlap, while callers and an operator go on. What they and the endpoints see is checked.
+ */
+
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { delay } from '../fixtures/deployment.js';
+import {
+  createGatewayDeployment,
+  createTableBody,
+  type GatewayDeployment,
+} from '../fixtures/gatewayDeployment.js';
+import { createFaults } from './faults.js';
+
+const CALLERS = 8;
+const CALL_PAUSE_MS = 15;
+const CHANGE_INTERVAL_MS = 900;
+const READ_INTERVAL_MS = 120;
+const MAX_FAULT_PAUSE_MS = 1_200;
+/** Time after the last fault in which everything works again. */
+const RECOVERY_LIMIT_MS = 12_000;
+const RANDOM_MAX = 999_999;
+const WORK_MS = 40;
+
+/** What a soak has seen. */
+export interface SoakOutcome {
+  violations: string[];
+  answered: number;
+  refused: number;
+  failed: number;
+  changes: number;
+  faults: string[];
+}
+
+interface Facts {
+  /** Ids of calls that were refused, which promises that they have not run. */
+  refusedIds: Set<string>;
+  /** Ids of calls that may run once at most. */
+  onceIds: Set<string>;
+  acknowledged: number;
+}
+
+/** Plays `seconds` of faults. */
+export async function runSoak(seed: number, seconds: number): Promise<SoakOutcome> {
+  const generator = xoroshiro128plus(seed);
+  const random = (): number => uniformInt(generator, 0, RANDOM_MAX) / (RANDOM_MAX + 1);
+  const facts: Facts = { refusedIds: new Set(), onceIds: new Set(), acknowledged: 0 };
+  const outcome: SoakOutcome = {
+    violations: [],
+    answered: 0,
+    refused: 0,
+    failed: 0,
+    changes: 0,
+    faults: [],
+  };
+  const deployment = await createGatewayDeployment(
+    ['a', 'b', 'c'].map((name) => ({
+      id: `desk-${name}`,
+      pool: 'desk',
+      slots: 6,
+      workMs: WORK_MS,
+    })),
+  );
+  let isRunning = true;
+  try {
+    await deployment.declare(createTableBody(1));
+    facts.acknowledged = 1;
+    await deployment.waitReady();
+    const tasks = [
+      ...Array.from({ length: CALLERS }, (_unused, index) => callOnAndOn(index)),
+      changeOnAndOn(),
+      readOnAndOn(),
+    ];
+    await injectFaults();
+    await checkRecovery();
+    isRunning = false;
+    await Promise.all(tasks);
+    checkArrivals();
+  } finally {
+    isRunning = false;
+    await deployment.stop();
+  }
+  return outcome;
+
+  async function injectFaults(): Promise<void> {
+    const faults = createFaults(deployment, random);
+    const endAt = performance.now() + seconds * 1_000;
+    const underWay: Promise<void>[] = [];
+    while (performance.now() < endAt) {
+      const { name, done } = faults.start();
+      outcome.faults.push(name);
+      underWay.push(done);
+      await delay(random() * MAX_FAULT_PAUSE_MS);
+    }
+    await Promise.all(underWay);
+  }
+
+  async function callOnAndOn(caller: number): Promise<void> {
+    for (let count = 0; isRunning; count += 1) {
+      const id = `${seed}-${caller}-${count}`;
+      const isOnce = random() < 0.5;
+      if (isOnce) facts.onceIds.add(id);
+      const gateway = caller % deployment.gatewayIds.length;
+      await callOnce(gateway, isOnce ? '/once/1' : '/work/1', id);
+      await delay(CALL_PAUSE_MS);
+    }
+  }
+
+  async function callOnce(gateway: number, path: string, id: string): Promise<void> {
+    try {
+      const { status, body } = await deployment.call(gateway, path, id);
+      if (status === 200) {
+        outcome.answered += 1;
+        if (body !== `answer to ${id}`) outcome.violations.push(`${id} got "${body}"`);
+      } else if (status === 503 || status === 429) {
+        outcome.refused += 1;
+        facts.refusedIds.add(id);
+      } else {
+        outcome.failed += 1;
+        if (status < 500) outcome.violations.push(`${id} got status ${status}`);
+      }
+    } catch {
+      // The process was killed or has left: nothing is promised.
+      outcome.failed += 1;
+    }
+  }
+
+  async function changeOnAndOn(): Promise<void> {
+    while (isRunning) {
+      await delay(CHANGE_INTERVAL_MS);
+      await declare(deployment, facts, facts.acknowledged + 1);
+      outcome.changes += 1;
+    }
+  }
+
+  async function readOnAndOn(): Promise<void> {
+    for (let count = 0; isRunning; count += 1) {
+      const before = facts.acknowledged;
+      const revision = await deployment.tryReadRevision(count % deployment.keeperIds.length);
+      if (revision !== undefined && revision < before) {
+        outcome.violations.push(`revision ${revision} was read after ${before} was acknowledged`);
+      }
+      await delay(READ_INTERVAL_MS);
+    }
+  }
+
+  async function checkRecovery(): Promise<void> {
+    const endAt = performance.now() + RECOVERY_LIMIT_MS;
+    const gateways = deployment.gatewayIds.map((_id, index) => index);
+    let missing = ['everything'];
+    while (missing.length > 0 && performance.now() < endAt) {
+      const checks = gateways.map((gateway) => checkServing(gateway, facts.acknowledged));
+      missing = (await Promise.all(checks)).flatMap((found) => found ?? []);
+      await delay(READ_INTERVAL_MS);
+    }
+    outcome.violations.push(...missing);
+  }
+
+  async function checkServing(gateway: number, revision: number): Promise<string | undefined> {
+    const id = `${seed}-recovery-${gateway}-${performance.now()}`;
+    try {
+      const { status } = await deployment.call(gateway, `/new-${revision}/1`, id);
+      // A later revision drops the route of this one.
+      if (status === 200 || facts.acknowledged > revision) return undefined;
+      return `gateway ${gateway} answers ${status} after all faults, revision ${revision}`;
+    } catch (caught) {
+      return `gateway ${gateway} after all faults: ${String(caught)}`;
+    }
+  }
+
+  function checkArrivals(): void {
+    const counts = new Map<string, number>();
+    for (const { arrivals } of deployment.endpoints) {
+      for (const id of arrivals) counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    for (const [id, count] of counts) {
+      if (facts.refusedIds.has(id)) outcome.violations.push(`${id} was refused and has run`);
+      if (count > 1 && facts.onceIds.has(id)) outcome.violations.push(`${id} ran ${count} times`);
+    }
+  }
+}
+
+async function declare(
+  deployment: GatewayDeployment,
+  facts: Facts,
+  revision: number,
+): Promise<void> {
+  const status = await deployment.tryDeclare(createTableBody(revision));
+  if (status === 200) facts.acknowledged = Math.max(facts.acknowledged, revision);
+}
