--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -105,7 +105,9 @@
       return;
     }
     const call = await tryCreateCall(request, head, arrivedAt, writer);
-    if (call !== undefined && !hasLeft) run = startCallRun(host.runs, call, writer);
+    if (call === undefined) return;
+    await readClosedConnections();
+    if (!hasLeft) run = startCallRun(host.runs, call, writer);
   }
 
   /** Reads and admits a request; undefined when it was answered already. */
@@ -200,3 +202,13 @@
 function estimateLongestMs({ tokens }: CallHead): number {
   return SLOW_START_MS + (tokens?.output ?? 0) * SLOW_TOKEN_MS;
 }
+
+/**
+ * Lets the event loop read from sockets once more, so that a caller who has closed its connection
+ * right behind a request that is read late is known to have left.
+ */
+function readClosedConnections(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(() => setImmediate(resolve));
+  });
+}
--- a/test/faults/gateway.test.ts
+++ b/test/faults/gateway.test.ts
@@ -109,6 +109,20 @@
     }
   });
 
+  it('sends nothing for callers who have left before their request is read', async () => {
+    const gateway = deployment.getProcess('gateway-0');
+    gateway.signal('SIGSTOP');
+    const ids = Array.from({ length: 20 }, (_unused, index) => `left-${index}`);
+    await Promise.all(ids.map((id) => deployment.callAndLeave(0, '/work/1', id)));
+    gateway.signal('SIGCONT');
+    await delay(500);
+    const arrived = deployment.endpoints.flatMap(({ arrivals }) => arrivals);
+    assert.deepEqual(
+      ids.filter((id) => arrived.includes(id)),
+      [],
+    );
+  });
+
   it('refuses an invalid table, which changes nothing', async () => {
     const table = { ...createTableBody(revision + 100), routes: 'none' };
     assert.equal(await deployment.declare(table), 400);
