Describe the committed membership of the keepers to operators

Cause: /v1/status listed the newest membership of the leader's log, committed or not. Whoever waited for three voters and then stopped the leader could do so before the promotion was stored by a majority. What remained were two voters of which one had lost its store, and no leader could be elected any more.

Ruled out: elections (no schedule fails while disks are lost only after the commit).

Change: the status shows the committed membership and, for the leader itself, what is synced. Each keeper test has a deployment of its own.

--- a/src/keeper/operatorApi.ts
+++ b/src/keeper/operatorApi.ts
@@ -9,9 +9,10 @@
 import type { Logger } from '../common/logging.js';
 import type { KeeperProcessSettings } from '../common/settings.js';
 import { checkToml } from '../common/tomlFile.js';
-import type { Member, Replica } from '../generated/keeper.js';
+import type { Member } from '../generated/keeper.js';
 import type { Ticket } from '../generated/schemas.js';
 import { isTicket } from '../generated/validators.js';
+import { describeKeepers } from './keeperStatus.js';
 import type { RunningReplica } from './replica.js';
 import type { Sessions } from './sessions.js';
 import { canonicalizeTicket, checkChanges, listChanges, type TicketChange } from './tickets.js';
@@ -179,7 +180,7 @@
       term: raft.term,
       commitIndex: raft.commitIndex,
       appliedIndex,
-      keepers: describeKeepers(replica),
+      keepers: describeKeepers(raft),
       configRevision: things.configRevision,
       newestTicket: newestTicket === undefined ? undefined : describeTicket(newestTicket),
       claims: state.claims.size,
@@ -187,16 +188,6 @@
     };
   }
 
-  function describeKeepers({ raft }: RunningReplica): object {
-    const describe = (keeper: Replica) => {
-      const isSelf = keeper.id === host.settings.id;
-      const matchIndex = raft.getProgress(keeper.storeId)?.matchIndex ?? 0;
-      return { ...keeper, matchIndex: isSelf ? raft.log.lastIndex : matchIndex };
-    };
-    const { voters, learners } = raft.log.membership;
-    return { voters: voters.map(describe), learners: learners.map(describe) };
-  }
-
   function describeMember(member: Member): object {
     const { leases } = host.sessions;
     return {
--- a/src/keeper/raft.ts
+++ b/src/keeper/raft.ts
@@ -49,6 +49,10 @@
   /** Current term and vote, persisted or not. */
   readonly hardState: HardState;
   readonly log: RaftLog;
+  /** Membership that a majority has stored; a later one in the log may still be lost. */
+  readonly committedMembership: Membership;
+  /** Index of the last entry known to be synced to the local disk. */
+  readonly persistedIndex: number;
   tick(now: number): void;
   step(message: PeerMessage, now: number): void;
   /** Appends a command. Returns its index and term, or undefined if this replica does not lead. */
@@ -106,6 +110,12 @@
       return { term: core.term, votedFor: core.votedFor };
     },
     log,
+    get committedMembership() {
+      return log.getMembershipAt(core.commitIndex);
+    },
+    get persistedIndex() {
+      return core.persistedIndex;
+    },
     tick,
     step,
     tryPropose,
--- a/test/faults/keepers.test.ts
+++ b/test/faults/keepers.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict';
 import { existsSync, readFileSync, truncateSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { after, before, describe, it } from 'node:test';
+import { afterEach, beforeEach, describe, it } from 'node:test';
 import { stringify } from 'smol-toml';
 import { request } from 'undici';
 import type { TicketDescription } from '../../src/cli/types.js';
@@ -16,7 +16,8 @@
   let deployment: Deployment;
   let lastTicketNumber = 0;
 
-  before(async () => {
+  beforeEach(async () => {
+    lastTicketNumber = 0;
     deployment = await createDeployment({
       keepers: 3,
       entries: 0,
@@ -27,7 +28,7 @@
     await deployment.status();
   });
 
-  after(() => deployment.stop());
+  afterEach(() => deployment.stop());
 
   async function applyTickets(count: number): Promise<void> {
     for (let applied = 0; applied < count; applied += 1) {
