End a stopped process with 0 whatever its log does

With a reader that had really stopped it always ended by a signal, since a blocked write holds a thread that a regular exit waits for.

Change: standard output is set to non-blocking mode where it is a pipe or a socket, so no thread can block. A stop waits up to 1 s for the reader. Only where the descriptor is of another kind and a flush has been pending for that long does the process still kill itself.

Ruled out: opening the pipe once more through the file system (it is a socket where a process is started by Node).

Measured: the test that stops a gateway whose output nobody reads now asks for the exit code 0: null before, 0 after.

--- a/src/common/logSink.ts
+++ b/src/common/logSink.ts
@@ -1,5 +1,7 @@
 /** Buffered writer of log lines to standard output. Its buffer is bounded and it never blocks. */
 
+import { fstatSync } from 'node:fs';
+import { Socket } from 'node:net';
 import { SonicBoom } from 'sonic-boom';
 
 const STDOUT_FD = 1;
@@ -8,24 +10,36 @@
 const MIN_WRITE_BYTES = 4 * 1024;
 /** Lines that would exceed this buffer size are dropped while the reader is too slow. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
+/** Time that the reader has to take buffered lines before it counts as stopped. */
+const FLUSH_TIMEOUT_MS = 1_000;
+/** Synchronous attempts to write the last lines, 100 ms apart. */
+const FINAL_WRITE_ATTEMPTS = 10;
 
 export interface LogSink {
   write(line: string): void;
   /** Returns the number of lines dropped since the previous call. */
   takeDroppedCount(): number;
-  /** Whether a periodic flush is still pending, as it is while the reader consumes nothing. */
-  readonly isBlocked: boolean;
-  /** Writes the buffered lines before the process exits. Blocks until the reader has taken them. */
+  /** Writes the buffered lines. Resolves to false if the reader does not take them in time. */
+  flush(): Promise<boolean>;
+  /** Writes the buffered lines before the process exits, as far as the reader takes them in time. */
   flushSync(): void;
+  /** Whether a thread is blocked in a write because the reader takes nothing. */
+  readonly isBlocked: boolean;
 }
 
 /** Creates the sink for standard output of this process. */
 export function createLogSink(): LogSink {
+  const nonBlocking = tryOpenNonBlocking(STDOUT_FD);
+  let attemptsLeft = Number.POSITIVE_INFINITY;
   const stream = new SonicBoom({
     fd: STDOUT_FD,
     sync: false,
     minLength: MIN_WRITE_BYTES,
     maxLength: MAX_BUFFERED_BYTES,
+    retryEAGAIN() {
+      attemptsLeft -= 1;
+      return attemptsLeft > 0;
+    },
   });
   let dropped = 0;
   stream.on('drop', () => {
@@ -33,13 +47,9 @@
   });
   // If standard output is closed, there is nowhere to report the error.
   stream.on('error', () => {});
-  let pendingFlushes = 0;
-  const timer = setInterval(() => {
-    pendingFlushes += 1;
-    stream.flush(() => {
-      pendingFlushes -= 1;
-    });
-  }, FLUSH_INTERVAL_MS);
+  /** When the oldest flush that is not complete began. */
+  let flushingSince: number | undefined;
+  const timer = setInterval(() => startFlush(), FLUSH_INTERVAL_MS);
   timer.unref();
 
   return {
@@ -49,15 +59,45 @@
       dropped = 0;
       return count;
     },
-    get isBlocked() {
-      return pendingFlushes > 0;
-    },
+    flush: () =>
+      new Promise((resolve) => {
+        setTimeout(() => resolve(false), FLUSH_TIMEOUT_MS);
+        startFlush(() => resolve(true));
+      }),
     flushSync() {
+      attemptsLeft = FINAL_WRITE_ATTEMPTS;
       try {
         stream.flushSync();
       } catch {
-        // The reader has closed standard output, so there is nowhere to report the error.
+        // The reader has closed standard output or takes nothing, so nobody would see the error.
       }
     },
+    get isBlocked() {
+      if (nonBlocking !== undefined || flushingSince === undefined) return false;
+      return performance.now() - flushingSince >= FLUSH_TIMEOUT_MS;
+    },
   };
+
+  function startFlush(onFlushed?: () => void): void {
+    flushingSince ??= performance.now();
+    stream.flush(() => {
+      flushingSince = undefined;
+      onFlushed?.();
+    });
+  }
+}
+
+/**
+ * Sets a pipe or socket to non-blocking mode by opening a stream on it. The mode lasts while the
+ * stream is referenced. Returns undefined if the descriptor is something else.
+ */
+function tryOpenNonBlocking(fd: number): Socket | undefined {
+  try {
+    const status = fstatSync(fd);
+    if (!status.isFIFO() && !status.isSocket()) return undefined;
+    return new Socket({ fd, readable: false, writable: true }).unref();
+  } catch {
+    // The descriptor is closed or of an unknown kind. Writes to it may block a thread.
+    return undefined;
+  }
 }
--- a/src/common/logging.ts
+++ b/src/common/logging.ts
@@ -13,11 +13,18 @@
 
 let processSink: LogSink | undefined;
 
+/** Exits after a regular stop, once the reader of the log has taken the buffered lines. */
+export async function endProcess(exitCode: number): Promise<void> {
+  await processSink?.flush();
+  abortProcess(exitCode);
+}
+
 /**
- * Exits after writing the buffered log lines. If nobody reads standard output, a thread is blocked
- * in a write and a regular exit would wait for that thread, so the process kills itself.
+ * Exits at once; used after an internal error. Buffered log lines are written as far as the reader
+ * takes them. If a thread is blocked in a write, a regular exit would wait for that thread, so the
+ * process kills itself.
  */
-export function endProcess(exitCode: number): void {
+export function abortProcess(exitCode: number): void {
   if (processSink?.isBlocked) process.kill(process.pid, 'SIGKILL');
   processSink?.flushSync();
   process.exit(exitCode);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -6,7 +6,7 @@
 import { SystemClock } from '../common/clock.js';
 import { assertNever } from '../common/debug.js';
 import { describeFailure, raise, toFailure } from '../common/failure.js';
-import { createLogger, endProcess } from '../common/logging.js';
+import { abortProcess, createLogger, endProcess } from '../common/logging.js';
 import { createMetricsRecorder } from '../common/metricsRecorder.js';
 import { readSettings, type ProcessSettings } from '../common/settings.js';
 import type { Adapter, RunningProcess } from './types.js';
@@ -77,7 +77,7 @@
   const metrics = await createMetricsRecorder(settings.metrics);
   const fail = (caught: unknown): void => {
     logger.event('processFailed', { failure: describeFailure(toFailure(caught)) });
-    endProcess(EXIT_FAILED);
+    abortProcess(EXIT_FAILED);
   };
   process.on('uncaughtException', fail);
   process.on('unhandledRejection', fail);
@@ -130,6 +130,6 @@
     await running.stop();
     metrics.close();
     logger.event('processStopped', {});
-    endProcess(0);
+    await endProcess(0);
   }
 }
--- a/test/faults/gateway.test.ts
+++ b/test/faults/gateway.test.ts
@@ -203,6 +203,7 @@
     const stopped = deployment.getProcess('gateway-1');
     stopped.signal('SIGTERM');
     await waitFor('the process to exit', () => !stopped.isRunning, drainLimitMs);
+    assert.equal(stopped.exitCode, 0);
     deployment.restart('gateway-1');
     await waitUntilServing(1);
   });
