Admit a request anew when it reaches the queue of an entry

Cause: an entry authenticated a caller before it read the body. If a ticket took the team away in the meantime, the request was dispatched all the same, under the new revision, so no agent refused it. The same hole stood open while a claim was opened or a suspect waited.

A second, smaller one: an agent refused dispatches that are older than the revision of its last lease renewal, which may be older than the one that it has acknowledged. State updates carry the revision of the configuration now.

Change: the dispatcher checks team and pool when a request is submitted. The agent's span has the time of the dispatch.

--- a/src/common/configView.ts
+++ b/src/common/configView.ts
@@ -16,6 +16,8 @@
 /** The things as of one revision of the replicated state. */
 export interface ConfigView {
   readonly revision: number;
+  /** Revision of the latest change made by a ticket. */
+  readonly configRevision: number;
   tryGet<Kind extends keyof ThingBodyByKind>(
     kind: Kind,
     name: string,
@@ -28,11 +30,15 @@
 export function createConfigView(): ConfigView {
   const thingsByKind = new Map<string, Map<string, object>>();
   let revision = 0;
+  let configRevision = 0;
 
   return {
     get revision() {
       return revision;
     },
+    get configRevision() {
+      return configRevision;
+    },
     tryGet: <Kind extends keyof ThingBodyByKind>(kind: Kind, name: string) =>
       thingsByKind.get(kind)?.get(name) as ThingBodyByKind[Kind] | undefined,
     list: <Kind extends keyof ThingBodyByKind>(kind: Kind) =>
@@ -49,6 +55,7 @@
       else getOrCreateKind(thing.kind).set(thing.name, JSON.parse(thing.body) as object);
     }
     revision = update.revision;
+    configRevision = Math.max(configRevision, update.configRevision);
   }
 
   function getOrCreateKind(kind: string): Map<string, object> {
--- a/src/common/keeperSession.ts
+++ b/src/common/keeperSession.ts
@@ -52,7 +52,10 @@
   readonly view: ConfigView;
   readonly fencingToken: number;
   readonly isDraining: boolean;
-  /** Newest committed revision of the configuration that a keeper has reported; 0 before that. */
+  /**
+   * Newest committed revision of the configuration that a keeper has reported; 0 before that. Never
+   * below what this member has acknowledged.
+   */
   readonly configRevision: number;
   /**
    * Returns whether new work may be accepted. While the lease is held, the view is guaranteed to be
@@ -103,7 +106,8 @@
       return isDraining;
     },
     get configRevision() {
-      return Number.isFinite(requiredRevision) ? requiredRevision : 0;
+      const renewedRevision = Number.isFinite(requiredRevision) ? requiredRevision : 0;
+      return Math.max(renewedRevision, view.configRevision);
     },
     hasLease,
     openClaim: (open, timeoutMs) =>
--- a/src/common/traceContext.ts
+++ b/src/common/traceContext.ts
@@ -4,6 +4,7 @@
 export interface AgentTimes {
   agentId: string;
   grantedUs: number;
+  dispatchedUs: number;
   firstByteUs: number;
   endedUs: number;
 }
--- a/src/common/tracingExport.ts
+++ b/src/common/tracingExport.ts
@@ -59,6 +59,7 @@
 function endAgentSpan(span: Span, agent: AgentTimes): void {
   span.setAttribute('turmericrack.agent', agent.agentId);
   span.addEvent('granted', agent.grantedUs / MICROSECONDS_PER_MS);
+  if (agent.dispatchedUs > 0) span.addEvent('dispatched', agent.dispatchedUs / MICROSECONDS_PER_MS);
   if (agent.firstByteUs > 0) span.addEvent('first byte', agent.firstByteUs / MICROSECONDS_PER_MS);
   span.end(agent.endedUs > 0 ? agent.endedUs / MICROSECONDS_PER_MS : undefined);
 }
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -84,7 +84,10 @@
   function submit(request: PendingRequest): void {
     requests.set(request.id, request);
     waiting.add(request);
-    place(request);
+    // The configuration may have changed since the caller was admitted, as its body was read or a
+    // claim was opened in the meantime.
+    readmitRequest(request);
+    if (request.state === 'waiting') place(request);
   }
 
   function place(request: PendingRequest): void {
@@ -294,9 +297,13 @@
   }
 
   function readmit(): void {
-    for (const request of waiting) readmitRequest(request);
+    for (const request of waiting) {
+      readmitRequest(request);
+      if (request.state === 'waiting' && request.reservations.size === 0) place(request);
+    }
   }
 
+  /** Admits a waiting request anew under the current configuration, or ends it. */
   function readmitRequest(request: PendingRequest): void {
     const directory = host.getDirectory();
     const found = directory.tryGetTeam(request.keyDigest);
@@ -317,7 +324,6 @@
     request.pool = pool;
     if (isUnchanged) return;
     withdrawAll(request);
-    place(request);
   }
 
   function review(): void {
--- a/src/entry/runResult.ts
+++ b/src/entry/runResult.ts
@@ -30,6 +30,7 @@
     outputTokens,
     wastedTokens,
     grantedUs: span?.grantedUs ?? 0,
+    dispatchedUs: span?.dispatchedUs ?? 0,
     firstByteUs: span?.firstByteUs ?? 0,
     endedUs: span?.endedUs ?? 0,
   };
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -86,6 +86,7 @@
   outputTokens: number;
   wastedTokens: number;
   grantedUs: number;
+  dispatchedUs: number;
   firstByteUs: number;
   endedUs: number;
 }
--- a/src/keeper/sessions.ts
+++ b/src/keeper/sessions.ts
@@ -172,9 +172,10 @@
     const isFull = changes === undefined;
     const relevant = (changes ?? things.listAll()).filter((thing) => isRelevant(thing, kinds));
     session.sentRevision = things.revision;
-    const mustAcknowledge = things.configRevision > sentRevision;
+    const { revision, configRevision } = things;
+    const mustAcknowledge = configRevision > sentRevision;
     if (!isFirst && !mustAcknowledge && relevant.length === 0) return;
-    const value = { revision: things.revision, full: isFull, things: relevant };
+    const value = { revision, configRevision, full: isFull, things: relevant };
     session.stream.write({ body: { $case: 'stateUpdate', value } });
   }
 
--- /dev/null
+++ b/test/unit/common/keeperSession.test.ts
@@ -0,0 +1,95 @@
+/** What a member knows of the configuration, as its session with the leading keeper delivers it. */
+
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import { Metadata, type Server, type ServerDuplexStream } from '@grpc/grpc-js';
+import { SystemClock } from '../../../src/common/clock.js';
+import { createKeeperSession, type KeeperSession } from '../../../src/common/keeperSession.js';
+import { createServer, listen } from '../../../src/common/rpc.js';
+import {
+  KeeperService,
+  type KeeperMessage,
+  type Member,
+  type MemberMessage,
+} from '../../../src/generated/keeper.js';
+import { waitFor } from '../../fixtures/deployment.js';
+import { getFreePort } from '../../fixtures/ports.js';
+
+const LEASE_MS = 60_000;
+const member: Member = {
+  id: 'agent-1',
+  incarnation: 'first',
+  role: 'agent',
+  address: '',
+  failureDomain: '',
+  pool: '',
+  endpointKind: 'engine',
+  draining: false,
+  fencingToken: 0,
+  endpoint: '',
+};
+
+describe('a session with the leading keeper', () => {
+  let server: Server;
+  let session: KeeperSession;
+  let stream: ServerDuplexStream<MemberMessage, KeeperMessage> | undefined;
+  let acknowledged = 0;
+
+  before(async () => {
+    const address = `127.0.0.1:${await getFreePort()}`;
+    server = createServer();
+    server.addService(KeeperService, {
+      session(opened: typeof stream) {
+        stream = opened;
+        opened?.on('data', ({ acknowledgedRevision }: MemberMessage) => {
+          acknowledged = acknowledgedRevision;
+        });
+      },
+    });
+    await listen(server, address);
+    session = createKeeperSession(
+      {
+        clock: new SystemClock(),
+        logger: { event() {} },
+        deployment: 'test',
+        keepers: [address],
+        metadata: new Metadata(),
+        resolve: (announced) => announced,
+        onChange() {},
+        onLease() {},
+        onDrain() {},
+      },
+      member,
+    );
+    await waitFor('the session', () => stream);
+  });
+
+  after(async () => {
+    await session.leave();
+    server.forceShutdown();
+  });
+
+  function renewLease(revision: number): void {
+    const value = { sentAtMs: 0, leaseMs: LEASE_MS, fencingToken: 1, revision, draining: false };
+    stream?.write({ body: { $case: 'leaseRenewal', value } });
+  }
+
+  function pushState(revision: number, configRevision: number): void {
+    const value = { revision, configRevision, full: false, things: [] };
+    stream?.write({ body: { $case: 'stateUpdate', value } });
+  }
+
+  it('knows a configuration as soon as it acknowledges it, before the next lease renewal', async () => {
+    pushState(5, 5);
+    renewLease(5);
+    pushState(7, 7);
+    await waitFor('the acknowledgement', () => acknowledged >= 7);
+    assert.equal(session.configRevision, 7);
+  });
+
+  it('does not take a change that no ticket made for a configuration', async () => {
+    pushState(9, 7);
+    await waitFor('the acknowledgement', () => acknowledged >= 9);
+    assert.equal(session.configRevision, 7);
+  });
+});
