Admit a request anew after an agent refused its dispatch

Cause: an agent refuses a dispatch that was decided under an older revision, so that the entry decides again. The entry only placed the request again: a change of the configuration reaches requests that wait, and this one was on its way. It was then dispatched under the new revision although its team was gone.

Change: whatever begins to wait is checked against the configuration first.

--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -83,9 +83,15 @@
 
   function submit(request: PendingRequest): void {
     requests.set(request.id, request);
+    enqueue(request);
+  }
+
+  /**
+   * Adds a request to those that wait. The configuration may have changed since it was admitted:
+   * while its body was read, a claim was opened, or a dispatch that an agent refused was on its way.
+   */
+  function enqueue(request: PendingRequest): void {
     waiting.add(request);
-    // The configuration may have changed since the caller was admitted, as its body was read or a
-    // claim was opened in the meantime.
     readmitRequest(request);
     if (request.state === 'waiting') place(request);
   }
@@ -260,8 +266,7 @@
     releaseGrant(request);
     request.state = 'waiting';
     request.avoidUntil.set(link.id, clock.now() + REFUSAL_BACKOFF_MS);
-    waiting.add(request);
-    place(request);
+    enqueue(request);
   }
 
   function handleStatus(request: PendingRequest, link: AgentLink, outcome: string): void {
