Bound the size of a stream's event

Cause: an endpoint in trouble may send bytes without end. The splitter held an unfinished event without bound and joined it anew at each chunk, so one such stream held the event loop and the memory of a gateway.

Change: the pieces of an event are joined once, when it is complete. Above 1 MiB the attempt ends as unknown, its connection is closed, and the stream resumes elsewhere where it may.

--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -225,6 +225,10 @@
   function forward(attempt: Attempt, head: ResponseHead, chunk: Buffer): boolean {
     attempt.recordChunk();
     const bytes = splitter === undefined ? chunk : splitter.push(chunk);
+    if (splitter?.isTooLong) {
+      failAttempt(attempt, { kind: 'unknown', reason: 'event without end' });
+      return true;
+    }
     if (bytes === undefined) return true;
     if (!writer.hasStarted) startResponse(head);
     lastForwardedAt = clock.now();
--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -6,6 +6,8 @@
 const EVENT_END = Buffer.from('\n\n');
 const ID_FIELD = Buffer.from('id:');
 const NEWLINE = 0x0a;
+/** Size from which an event counts as endless; an endpoint in trouble may send bytes without end. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 
 /** Splitter of one stream. */
 export interface EventSplitter {
@@ -13,6 +15,8 @@
   readonly lastEventId: string | undefined;
   /** Whether the beginning of an event is buffered. */
   readonly hasPartialEvent: boolean;
+  /** Whether the buffered event exceeds the limit; the stream is then of no use. */
+  readonly isTooLong: boolean;
   /** Returns the events that `chunk` completes, if any, and buffers the remainder. */
   push(chunk: Buffer): Buffer | undefined;
   /** Discards the buffered beginning of an event. */
@@ -21,7 +25,9 @@
 
 /** Creates a splitter for a new stream. */
 export function createEventSplitter(): EventSplitter {
-  let partial: Buffer | undefined;
+  /** Pieces of an incomplete event. They are joined only once, when the event is complete. */
+  let pieces: Buffer[] = [];
+  let bufferedBytes = 0;
   let lastEventId: string | undefined;
 
   return {
@@ -29,27 +35,46 @@
       return lastEventId;
     },
     get hasPartialEvent() {
-      return partial !== undefined;
+      return bufferedBytes > 0;
     },
-    push,
-    dropPartialEvent() {
-      partial = undefined;
+    get isTooLong() {
+      return bufferedBytes > MAX_EVENT_BYTES;
     },
+    push,
+    dropPartialEvent: clear,
   };
 
   function push(chunk: Buffer): Buffer | undefined {
-    const bytes = partial === undefined ? chunk : Buffer.concat([partial, chunk]);
-    const at = bytes.lastIndexOf(EVENT_END);
-    if (at < 0) {
-      partial = bytes;
+    const end = findEventEnd(chunk);
+    if (end === undefined) {
+      buffer(chunk);
       return undefined;
     }
-    const end = at + EVENT_END.length;
-    partial = end < bytes.length ? bytes.subarray(end) : undefined;
-    const complete = bytes.subarray(0, end);
+    const complete = Buffer.concat([...pieces, chunk.subarray(0, end)]);
+    clear();
+    buffer(chunk.subarray(end));
     lastEventId = findLastId(complete) ?? lastEventId;
     return complete;
   }
+
+  /** Returns the position after the last event that ends in `chunk`, if any does. */
+  function findEventEnd(chunk: Buffer): number | undefined {
+    const at = chunk.lastIndexOf(EVENT_END);
+    if (at >= 0) return at + EVENT_END.length;
+    const isSplit = chunk[0] === NEWLINE && pieces.at(-1)?.at(-1) === NEWLINE;
+    return isSplit ? 1 : undefined;
+  }
+
+  function buffer(piece: Buffer): void {
+    if (piece.length === 0) return;
+    pieces.push(piece);
+    bufferedBytes += piece.length;
+  }
+
+  function clear(): void {
+    pieces = [];
+    bufferedBytes = 0;
+  }
 }
 
 function findLastId(events: Buffer): string | undefined {
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -81,6 +81,7 @@
   const statuses: number[] = [];
   const summaries: CallSummary[] = [];
   const exchanges: ResponseHandler[] = [];
+  let aborted = 0;
   let placement: PlacementRequest | undefined;
   let watched: WatchedAttempt | undefined;
   const handler: CallHandler = startCallHandler(
@@ -147,6 +148,10 @@
     },
   );
 
+  function recordAbort(): void {
+    aborted += 1;
+  }
+
   return {
     clock,
     submitted,
@@ -154,21 +159,22 @@
     summaries,
     exchanges,
     cancel: handler.cancel,
+    getAborted: () => aborted,
     place() {
-      placement?.onPlaced(createEndpoint(exchanges));
+      placement?.onPlaced(createEndpoint(exchanges, recordAbort));
     },
     stall: () => watched?.onStalled('response did not start in time'),
   };
 }
 
-function createEndpoint(exchanges: ResponseHandler[]): Endpoint {
+function createEndpoint(exchanges: ResponseHandler[], abort: () => void): Endpoint {
   const endpoint = createTestEndpoint({
     id: `endpoint-${exchanges.length}`,
     pool: 'pool',
     slots: 1,
     send(_request, handler) {
       exchanges.push(handler);
-      return { resume() {}, abort() {} };
+      return { resume() {}, abort };
     },
   });
   endpoint.running = 1;
@@ -225,4 +231,15 @@
     assert.deepEqual(started.statuses, [200]);
     assert.equal(started.summaries[0]?.outcome, 'answered');
   });
+
+  it('ends an attempt whose stream has an event without end, and resumes elsewhere', () => {
+    started = startHandler('stream', 2);
+    started.place();
+    started.exchanges[0]?.onHead(200, []);
+    for (let count = 0; count < 64 && started.submitted.length === 1; count += 1) {
+      started.exchanges[0]?.onData(Buffer.alloc(64 * 1024, 'x'));
+    }
+    assert.equal(started.submitted.length, 2);
+    assert.equal(started.getAborted(), 1);
+  });
 });
--- a/test/unit/gateway/eventSplitter.test.ts
+++ b/test/unit/gateway/eventSplitter.test.ts
@@ -6,6 +6,9 @@
 
 const stream = 'id: 1\ndata: one\n\nid: 2\ndata: an id: 9 in data\n\nid: 13\ndata: x\n\n';
 
+/** Time for 32 MiB of one event in 1 KiB chunks; joining it anew at each chunk takes minutes. */
+const MAX_SPLIT_MS = 1_000;
+
 describe('an event splitter', () => {
   it('returns only complete events, for chunks of any size', () => {
     for (let size = 1; size <= stream.length; size += 1) {
@@ -31,4 +34,25 @@
     assert.equal(splitter.push(Buffer.from(next))?.toString(), next);
     assert.equal(splitter.lastEventId, '2');
   });
+
+  it('splits between the two newlines that end an event', () => {
+    const splitter = createEventSplitter();
+    assert.equal(splitter.push(Buffer.from('id: 1\ndata: a\n')), undefined);
+    assert.equal(String(splitter.push(Buffer.from('\nid: 2\n'))), 'id: 1\ndata: a\n\n');
+    assert.equal(splitter.lastEventId, '1');
+    assert.equal(String(splitter.push(Buffer.from('data: b\n\n'))), 'id: 2\ndata: b\n\n');
+    assert.equal(splitter.lastEventId, '2');
+  });
+
+  it('reports an event without end, and takes time in proportion to its bytes', () => {
+    const splitter = createEventSplitter();
+    const chunk = Buffer.alloc(1024, 'x');
+    const startedAt = performance.now();
+    for (let count = 0; count < 32 * 1024; count += 1) splitter.push(chunk);
+    assert.ok(splitter.isTooLong);
+    assert.ok(performance.now() - startedAt < MAX_SPLIT_MS);
+    splitter.dropPartialEvent();
+    assert.equal(splitter.isTooLong, false);
+    assert.equal(String(splitter.push(Buffer.from('data: c\n\n'))), 'data: c\n\n');
+  });
 });
