Serve sooner after all processes were killed or lost power

The processes run again after 1.1 s, a leader of the keepers is elected after another second, and gateways refuse until then. Ruled out: the start of the processes (0.1 s) and the disks.

Change: a gateway without a table states when one is usual after a start, and spreads the times. The first election timeout of a keeper varies less, and a round of pre-votes is repeated after 150 to 300 ms instead of 600 to 1,200: a voter that started later denies the first one. A keeper asks once for all subscribers that wait for a confirmed table, at each push, instead of each on its own after 300 ms.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -116,7 +116,7 @@
     dialect,
     listen: gateway.listen,
     random: Math.random,
-    tryGetIndex: () => tableView.index,
+    table: tableView,
     tryGetLimits: () => limits,
     quotas,
     handlerHost: {
--- a/src/feed/feedServer.ts
+++ b/src/feed/feedServer.ts
@@ -14,7 +14,6 @@
 
 /** Interval of the updates that forward reports and show subscribers that this keeper is alive. */
 const PUSH_INTERVAL_MS = 100;
-const CONFIRM_RETRY_DELAY_MS = 300;
 /** Age after which a gateway's report is deleted. */
 const REPORT_RETENTION_MS = 3_000;
 
@@ -49,6 +48,8 @@
   id: string;
   stream: FeedStream;
   wantsReports: boolean;
+  /** Whether it has been sent a table that a majority of keepers confirmed. */
+  isTableConfirmed: boolean;
   /** Comma-separated keeper addresses last sent; the list is sent again only when it changes. */
   lastSentKeepers: string;
 }
@@ -63,6 +64,7 @@
   const { clock, logger, registry } = host;
   const subscribers = new Set<Subscriber>();
   const reports = new Map<string, StoredReport>();
+  let isConfirming = false;
   const pushTimer = setInterval(pushUpdates, PUSH_INTERVAL_MS);
 
   return { serve, publishTable, announce, close };
@@ -72,6 +74,7 @@
       id: '',
       stream,
       wantsReports: false,
+      isTableConfirmed: false,
       lastSentKeepers: '',
     };
     stream.on('data', (message: FeedMessage) => handleMessage(subscriber, message));
@@ -99,23 +102,30 @@
     logger.event('followerConnected', { follower: id, revision: host.getTable().revision });
     const table = host.getTable();
     send(subscriber, { announcements: registry.list(), table });
-    void sendConfirmedTable(subscriber);
+    void sendConfirmedTable();
   }
 
-  /** Sends a new subscriber the table in force, as soon as a majority of keepers confirms it. */
-  async function sendConfirmedTable(subscriber: Subscriber): Promise<void> {
-    if (!subscribers.has(subscriber)) return;
+  /**
+   * Sends new subscribers the table in force, once a majority of keepers confirms it. Tried at each
+   * push; one confirmation serves all subscribers that were added before it was asked for.
+   */
+  async function sendConfirmedTable(): Promise<void> {
+    const waiting = [...subscribers].filter(({ isTableConfirmed }) => !isTableConfirmed);
+    if (isConfirming || waiting.length === 0) return;
+    isConfirming = true;
     const table = await host.readConfirmedTable();
-    if (table === undefined) {
-      setTimeout(() => void sendConfirmedTable(subscriber), CONFIRM_RETRY_DELAY_MS);
-      return;
+    isConfirming = false;
+    if (table === undefined) return;
+    for (const subscriber of waiting) {
+      subscriber.isTableConfirmed = true;
+      send(subscriber, { table, confirmed: true });
     }
-    send(subscriber, { table, confirmed: true });
   }
 
   function publishTable(): void {
     const table = host.getTable();
     for (const subscriber of subscribers) send(subscriber, { table });
+    void sendConfirmedTable();
   }
 
   function announce(announcement: Announcement): void {
@@ -146,6 +156,7 @@
       const reportsToSend = subscriber.wantsReports ? listRecentReports(subscriber, now) : [];
       send(subscriber, { keepers: isListChanged ? keepers : [], reports: reportsToSend });
     }
+    void sendConfirmedTable();
   }
 
   /** Reports of other gateways that were received within the last two push intervals. */
--- a/src/gateway/callAdmission.ts
+++ b/src/gateway/callAdmission.ts
@@ -6,8 +6,8 @@
 import type { Quotas } from './quotas.js';
 import type { RequestHead } from './types.js';
 
-/** Time within which a gateway without a routing table is expected to receive one. */
-const NO_TABLE_RETRY_MS = 500;
+/** Spread of the times at which refused callers return, relative to the expected wait. */
+const RETURN_SPREAD = 0.3;
 
 /** A request that the routing table allows. */
 export interface AdmittedRequest {
@@ -19,10 +19,20 @@
 export type Admission =
   { kind: 'admitted'; request: AdmittedRequest } | { kind: 'refused'; reply: LocalReply };
 
+/** The routing table in force, or when one is expected. */
+export interface TableState {
+  /** Undefined while there is no table that may be used. */
+  readonly index: RouteIndex | undefined;
+  /** Expected time until there is one, in milliseconds. */
+  readonly expectedWaitMs: number;
+}
+
 /** Looks up the route of a request; `share` (0 to 1) selects among the targets of a split route. */
-export function admit(index: RouteIndex | undefined, head: RequestHead, share: number): Admission {
+export function admit(state: TableState, head: RequestHead, share: number): Admission {
+  const { index } = state;
   if (index === undefined) {
-    return refuse({ status: 503, reason: 'no table yet', retryAfterMs: NO_TABLE_RETRY_MS });
+    const retryAfterMs = state.expectedWaitMs * (1 + share * RETURN_SPREAD);
+    return refuse({ status: 503, reason: 'no table yet', retryAfterMs });
   }
   const route = index.tryGetRoute(head.host, head.path);
   if (route === undefined) return refuse({ status: 404, reason: 'no such route' });
--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -6,9 +6,8 @@
 import { RaisedFailure } from '../common/failure.js';
 import { closeServer, hasBody, listenOn, readBody } from '../common/httpServer.js';
 import type { Logger } from '../common/logging.js';
-import type { RouteIndex } from '../routing/routeIndex.js';
 import type { CallerLimits } from '../routing/types.js';
-import { admit, consumeQuota } from './callAdmission.js';
+import { admit, consumeQuota, type TableState } from './callAdmission.js';
 import { startCallHandler, type CallHandler, type CallHandlerHost } from './callHandler.js';
 import type { Quotas } from './quotas.js';
 import { createResponseWriter, type LocalReply, type ResponseWriter } from './responseWriter.js';
@@ -34,7 +33,8 @@
   /** host:port. */
   listen: string;
   random(): number;
-  tryGetIndex(): RouteIndex | undefined;
+  /** The routing table; its properties change over time. */
+  table: TableState;
   tryGetLimits(): CallerLimits | undefined;
   quotas: Quotas;
   handlerHost: CallHandlerHost;
@@ -117,7 +117,7 @@
     arrivedAt: number,
     writer: ResponseWriter,
   ): Promise<Call | undefined> {
-    const precheck = admit(host.tryGetIndex(), head, host.random());
+    const precheck = admit(host.table, head, host.random());
     if (precheck.kind === 'refused') {
       refuse(writer, request, head, precheck.reply);
       return undefined;
@@ -125,8 +125,7 @@
     const body = await tryReadBody(request, head, writer);
     if (body === undefined) return undefined;
     // The routing table may have changed while the body was read.
-    const index = host.tryGetIndex();
-    const admission = admit(index, head, host.random());
+    const admission = admit(host.table, head, host.random());
     if (admission.kind === 'refused') {
       refuse(writer, request, head, admission.reply);
       return undefined;
@@ -144,7 +143,7 @@
       route,
       pool,
       team,
-      revision: index?.table.revision ?? 0,
+      revision: host.table.index?.table.revision ?? 0,
       body: body.length > 0 ? body : undefined,
       relativeWork: estimator.recordWork(pool, estimateWork(head)),
       waitedMs: estimator.estimateWaitedMs(route, head.waitMs),
@@ -173,7 +172,7 @@
 
   function findTeam(head: RequestHead | undefined): string {
     if (head?.key === undefined) return '';
-    return host.tryGetIndex()?.tryGetTeam(head.key)?.name ?? '';
+    return host.table.index?.tryGetTeam(head.key)?.name ?? '';
   }
 
   function refuse(
@@ -193,7 +192,7 @@
       status: reply.status,
       reason: reply.reason,
       retryAfterMs: Math.round(reply.retryAfterMs ?? 0),
-      revision: host.tryGetIndex()?.table.revision ?? 0,
+      revision: host.table.index?.table.revision ?? 0,
     });
   }
 }
--- a/src/gateway/tableView.ts
+++ b/src/gateway/tableView.ts
@@ -16,6 +16,11 @@
  */
 const UNCONFIRMED_WAIT_MS = 2_500;
 
+/** Usual time from the start of all processes to the first confirmed table. */
+const FIRST_TABLE_MS = 1_300;
+/** Lower bound of the stated wait: keepers that come back elect a leader first. */
+const MIN_EXPECTED_WAIT_MS = 500;
+
 /** Dependencies of the view. */
 export interface TableViewHost {
   clock: Clock;
@@ -32,12 +37,15 @@
   /** Undefined until there is a table that may be used. */
   readonly index: RouteIndex | undefined;
   readonly isUsable: boolean;
+  /** Expected time until there is a table that may be used, in milliseconds. */
+  readonly expectedWaitMs: number;
   receive(document: TableDocument, isConfirmed: boolean): void;
 }
 
 /** Creates a view that has not received a table yet. */
 export function createTableView(host: TableViewHost): TableView {
   const { clock, logger } = host;
+  const startedAt = clock.now();
   let newest: RouteIndex | undefined;
   let isConfirmed = false;
   let firstReceivedAt: number | undefined;
@@ -50,6 +58,9 @@
       if (newest === undefined) return false;
       return isConfirmed || hasWaitExpired();
     },
+    get expectedWaitMs() {
+      return Math.max(MIN_EXPECTED_WAIT_MS, startedAt + FIRST_TABLE_MS - clock.now());
+    },
     receive,
   };
   return view;
--- a/src/keeper/election.ts
+++ b/src/keeper/election.ts
@@ -36,7 +36,8 @@
     core.role = role;
     votes.clear();
     votes.add(core.self.storeId);
-    core.resetElectionTimer();
+    if (role === 'preCandidate') core.schedulePreVoteRetry();
+    else core.resetElectionTimer();
   }
 
   function requestVotes(term: number, preVote: boolean): void {
--- a/src/keeper/raftCore.ts
+++ b/src/keeper/raftCore.ts
@@ -13,6 +13,13 @@
 
 /** Minimum time without contact from a leader before an election starts, in milliseconds. */
 export const ELECTION_TIMEOUT_MS = 600;
+/**
+ * Minimum time between two rounds of pre-votes, in milliseconds. They are cheap, since they change
+ * no term and write nothing, and fail while a voter has heard a leader shortly before.
+ */
+const PRE_VOTE_RETRY_MS = 150;
+/** Spread of the first election timeout; smaller, so that a cluster that starts has a leader soon. */
+const FIRST_TIMEOUT_SPREAD = 0.5;
 
 export type RaftRole = 'follower' | 'preCandidate' | 'candidate' | 'leader';
 
@@ -63,6 +70,8 @@
   append(entries: readonly LogEntry[]): void;
   becomeFollower(term: number, leader: Replica | undefined): void;
   resetElectionTimer(): void;
+  /** Sets the election timer to the next round of pre-votes. */
+  schedulePreVoteRetry(): void;
   isVoter(storeId: string): boolean;
 }
 
@@ -90,7 +99,7 @@
     // Before the restart this replica may have acknowledged a leader, whose lease relies on this
     // replica granting no vote for a whole election timeout.
     leaderContactAt: now,
-    electionAt: 0,
+    electionAt: now + ELECTION_TIMEOUT_MS * (1 + host.random() * FIRST_TIMEOUT_SPREAD),
     hardStateChanged: false,
     unpersistedEntries: [],
     pendingSnapshot: undefined,
@@ -99,9 +108,9 @@
     append,
     becomeFollower,
     resetElectionTimer,
+    schedulePreVoteRetry,
     isVoter: (storeId) => log.membership.voters.some((voter) => voter.storeId === storeId),
   };
-  resetElectionTimer();
   return core;
 
   function send(to: Replica, term: number, body: PeerMessage['body']): void {
@@ -132,4 +141,8 @@
   function resetElectionTimer(): void {
     core.electionAt = core.now + ELECTION_TIMEOUT_MS * (1 + host.random());
   }
+
+  function schedulePreVoteRetry(): void {
+    core.electionAt = core.now + PRE_VOTE_RETRY_MS * (1 + host.random());
+  }
 }
--- a/test/unit/gateway/tableView.test.ts
+++ b/test/unit/gateway/tableView.test.ts
@@ -6,6 +6,9 @@
 import { createTableView, type TableView } from '../../../src/gateway/tableView.js';
 import type { RoutingTable } from '../../../src/routing/types.js';
 
+/** Longest first election timeout of a keeper, and the votes after it. */
+const USUAL_ELECTION_MS = 950;
+
 interface Fixture {
   view: TableView;
   clock: VirtualClock;
@@ -74,4 +77,14 @@
     view.receive({ revision: 6, document: Buffer.from('{') }, true);
     assert.equal(view.index?.table.revision, 5);
   });
+
+  it('is expected after the time that keepers which start with it take to elect a leader', () => {
+    const { view, clock } = createFixture();
+    const first = view.expectedWaitMs;
+    assert.ok(first > USUAL_ELECTION_MS, 'whoever returns sooner is refused again');
+    clock.advance(USUAL_ELECTION_MS);
+    assert.equal(view.expectedWaitMs, Math.max(500, first - USUAL_ELECTION_MS));
+    clock.advance(10_000);
+    assert.equal(view.expectedWaitMs, 500);
+  });
 });
--- a/test/unit/keeper/raft.test.ts
+++ b/test/unit/keeper/raft.test.ts
@@ -123,6 +123,16 @@
     assert.ok(body?.$case === 'voteResponse' && !body.value.granted);
   });
 
+  it('are soon requested again while the voters have heard a leader shortly before', () => {
+    const raft = createNode();
+    raft.tick(LONG_AFTER_START_MS);
+    assert.equal(takeMessages(raft).length, 2);
+    raft.tick(LONG_AFTER_START_MS + ELECTION_TIMEOUT_MS / 2);
+    const [again] = takeMessages(raft);
+    const body = again?.message.body;
+    assert.ok(body?.$case === 'voteRequest' && body.value.preVote);
+  });
+
   it('requested from an earlier store of this replica are ignored', () => {
     const raft = createNode();
     const value = { preVote: false, lastIndex: 99, lastTerm: 99 };
