Close connections on which endpoints send bytes without end

Cause: the HTTP parser bounds headers and trailers only. Interim responses, empty lines before a response, a reason phrase, a chunk extension and the digits of a chunk size were read for as long as an endpoint sent them, until the caller's deadline.

Change: a connection is closed after 256 KiB among which no response begins and no part of a body is, and its request ends as failed.

--- a/src/gateway/endpointClient.ts
+++ b/src/gateway/endpointClient.ts
@@ -1,6 +1,6 @@
 /** HTTP client of one endpoint with its own connections; sends each request at most once. */
 
-import { connect as connectSocket } from 'node:net';
+import { connect as connectSocket, type Socket } from 'node:net';
 import type { buildConnector, Dispatcher } from 'undici';
 import { Client } from '../common/httpPool.js';
 import { splitAddress } from '../common/settings.js';
@@ -10,6 +10,12 @@
 const IDLE_TIMEOUT_MS = 4_000;
 /** How much earlier than the endpoint the gateway closes an idle connection. */
 const IDLE_MARGIN_MS = 1_000;
+/**
+ * Bytes that may arrive without the beginning of a response or a part of its body among them. The
+ * parser bounds headers and trailers only, not a status line, interim responses or the framing of
+ * chunks. Several times what one read from a socket returns.
+ */
+const MAX_BYTES_WITHOUT_PROGRESS = 256 * 1024;
 
 /** A request as sent to an endpoint. */
 export interface EndpointRequest {
@@ -48,6 +54,9 @@
 /** One connection, which is reopened as needed. */
 interface Connection {
   client: Client;
+  socket: Socket | undefined;
+  /** Bytes received on the socket up to the latest part of a response. */
+  bytesAtProgress: number;
   /** Whether its socket has failed since it was last opened. */
   hasFailed: boolean;
 }
@@ -62,7 +71,12 @@
   return { send, isReachable, close };
 
   function createConnection(): Connection {
-    const connection: Connection = { client: createClient(openSocket), hasFailed: false };
+    const connection: Connection = {
+      client: createClient(openSocket),
+      socket: undefined,
+      bytesAtProgress: 0,
+      hasFailed: false,
+    };
     connections.add(connection);
     return connection;
 
@@ -85,11 +99,24 @@
           // longer has a peer.
           if (socket.remoteAddress === undefined) connection.hasFailed = true;
         });
+        connection.socket = socket;
+        connection.bytesAtProgress = 0;
+        socket.on('readable', () => limitBytes(connection, socket));
         done(null, socket);
       });
     }
   }
 
+  /** Closes a connection on which bytes without end arrive that are no response. */
+  function limitBytes({ bytesAtProgress }: Connection, socket: Socket): void {
+    if (socket.bytesRead - bytesAtProgress <= MAX_BYTES_WITHOUT_PROGRESS) return;
+    socket.destroy(new Error('bytes without end that are no response'));
+  }
+
+  function recordProgress(connection: Connection): void {
+    connection.bytesAtProgress = connection.socket?.bytesRead ?? 0;
+  }
+
   function createClient(connect: buildConnector.connector): Client {
     return new Client(`http://${address}`, {
       pipelining: 1,
@@ -115,13 +142,16 @@
       {
         onRequestStart(started) {
           controller = started;
+          recordProgress(connection);
           if (isOver) started.abort(createAbortReason());
         },
         onResponseStart(started, status) {
           if (isOver || status < 200) return;
+          recordProgress(connection);
           handler.onHead(status, (started.rawHeaders ?? []) as Buffer[]);
         },
         onResponseData(started, chunk) {
+          recordProgress(connection);
           if (!isOver && !handler.onData(chunk)) started.pause();
         },
         onResponseEnd() {
