--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -18,6 +18,8 @@
 
 const ARRIVED_AT = 1_000;
 const WAIT_MS = 10_000;
+const DRIBBLE_WAIT_MS = 200;
+const DRIBBLE_INTERVAL_MS = 10;
 
 const responseHead: ResponseHead = {
   status: 200,
@@ -28,13 +30,13 @@
   headers: [],
 };
 
-function createRoute(kind: RouteKind, maxAttempts: number): Route {
+function createRoute(kind: RouteKind, maxAttempts: number, timeoutMs = WAIT_MS): Route {
   return {
     name: 'route',
     host: 'a.example',
     prefix: '/',
     kind,
-    timeoutMs: WAIT_MS,
+    timeoutMs,
     objectiveMs: 500,
     pauseObjectiveMs: undefined,
     rank: 1,
@@ -68,17 +70,22 @@
     relativeWork: 1,
     waitedMs: 0,
     arrivedAt: ARRIVED_AT,
-    deadline: ARRIVED_AT + WAIT_MS,
+    deadline: ARRIVED_AT + route.timeoutMs,
   };
 }
 
 /** Starts a handler whose dependencies are all controlled by the test. */
-function startHandler(kind: RouteKind, maxAttempts: number, canPlace = true) {
+function startHandler(
+  kind: RouteKind,
+  maxAttempts: number,
+  { canPlace = true, waitMs = WAIT_MS, head = responseHead } = {},
+) {
   const clock = new VirtualClock(ARRIVED_AT);
   const submitted: (Pick<PlacementRequest, 'arrivedAt' | 'maxQueueMs' | 'wasInterrupted'> & {
     at: number;
   })[] = [];
   const statuses: number[] = [];
+  const forwarded: Buffer[] = [];
   const summaries: CallSummary[] = [];
   const exchanges: ResponseHandler[] = [];
   let aborted = 0;
@@ -91,7 +98,7 @@
       dialect: {
         tryParseRequest: () => undefined,
         toEndpointHeaders: () => [],
-        parseResponse: () => responseHead,
+        parseResponse: () => head,
         decodeTable: () => assert.fail('no table is decoded'),
       },
       scheduler: {
@@ -136,13 +143,16 @@
       },
       onEnd: (summary) => summaries.push(summary),
     },
-    createCall(createRoute(kind, maxAttempts)),
+    createCall(createRoute(kind, maxAttempts, waitMs)),
     {
       hasStarted: false,
       start() {},
-      write: () => true,
+      write(bytes) {
+        forwarded.push(bytes);
+        return true;
+      },
       end() {},
-      writeComplete: (head) => statuses.push(head.status),
+      writeComplete: ({ status }) => statuses.push(status),
       writeLocalReply: (reply) => statuses.push(reply.status),
       destroy() {},
     },
@@ -157,6 +167,7 @@
     submitted,
     statuses,
     summaries,
+    forwarded,
     exchanges,
     cancel: handler.cancel,
     getAborted: () => aborted,
@@ -205,7 +216,7 @@
   });
 
   it('keeps a stalled attempt while no other endpoint has a free slot', () => {
-    started = startHandler('idempotent', 2, false);
+    started = startHandler('idempotent', 2, { canPlace: false });
     started.place();
     started.stall();
     assert.equal(started.submitted.length, 1);
@@ -242,4 +253,34 @@
     assert.equal(started.submitted.length, 2);
     assert.equal(started.getAborted(), 1);
   });
+
+  it("passes on nothing of a late second copy of another request's response", () => {
+    const head = { ...responseHead, callId: 'call-0' };
+    started = startHandler('nonIdempotent', 1, { head });
+    started.place();
+    started.exchanges[0]?.onHead(200, []);
+    started.exchanges[0]?.onData(Buffer.from('the answer to another request'));
+    started.exchanges[0]?.onEnd();
+    assert.deepEqual(started.statuses, [502]);
+    assert.deepEqual(started.forwarded, []);
+    assert.equal(started.getAborted(), 1, 'the connection is not used again');
+  });
+
+  it('ends a stream of which a byte arrives now and then, but no event, in time', async () => {
+    started = startHandler('stream', 1, { waitMs: DRIBBLE_WAIT_MS });
+    const { clock, exchanges, summaries } = started;
+    started.place();
+    exchanges[0]?.onHead(200, []);
+    const timer = setInterval(() => {
+      clock.advance(DRIBBLE_INTERVAL_MS);
+      exchanges[0]?.onData(Buffer.from(':'));
+    }, DRIBBLE_INTERVAL_MS);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 2 * DRIBBLE_WAIT_MS);
+    });
+    clearInterval(timer);
+    assert.equal(summaries[0]?.outcome, 'timedOut');
+    assert.deepEqual(started.statuses, [504]);
+    assert.equal(started.getAborted(), 1);
+  });
 });
