--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -1,16 +1,16 @@
 /**
- * Handles requests from admission to their end: reserves with agents, dispatches to the first that
- * grants the request, and passes the response on. A request is dispatched under one grant at a
- * time. It returns to waiting only if the agent states that it did not run ("voided" or
- * "not_run").
+ * Handles requests from admission to their end: reserves with agents and dispatches to the first
+ * that grants the request. A request is dispatched under one grant at a time. It returns to waiting
+ * only if the agent states that it did not run ("voided" or "not_run").
  */
 
-import { toFinishProblem, toRunFailure, toRunStats } from './runResult.js';
+import { createResponseRelay, isDispatchedTo } from './responseRelay.js';
+import { toRunFailure } from './runResult.js';
 import { createReserve, listCandidates } from './reservations.js';
 import type { Clock } from '../common/clock.js';
 import { assertNever } from '../common/debug.js';
 import type { Logger } from '../common/logging.js';
-import type { AgentFrame, Chunk, Finished, Granted, Reserve } from '../generated/dispatch.js';
+import type { AgentFrame, Granted, Reserve } from '../generated/dispatch.js';
 import type { AgentLink, AgentLinks } from './agentLinks.js';
 import type { Directory } from './directory.js';
 import type { Floors } from './floors.js';
@@ -20,8 +20,6 @@
 
 /** Time after which a request whose agent has been disconnected is given up as lost. */
 const AGENT_LOSS_TIMEOUT_MS = 8_000;
-/** Number of bytes consumed by the caller after which the agent is sent credit for them. */
-const CREDIT_BATCH_BYTES = 64 * 1024;
 /** Time for which an agent that refused a request, or did not run it, is not asked again. */
 const REFUSAL_BACKOFF_MS = 250;
 
@@ -62,6 +60,7 @@
   const { clock, links } = host;
   const requests = new Map<string, PendingRequest>();
   const waiting = new Set<PendingRequest>();
+  const responses = createResponseRelay({ links, toReserve, returnToWaiting, finish, fail });
 
   return {
     get waitingCount() {
@@ -141,13 +140,13 @@
         handleRefusal(request, link);
         break;
       case 'started':
-        handleStart(request, link, body.value.status, body.value.headers);
+        responses.handleStart(request, link, body.value.status, body.value.headers);
         break;
       case 'chunk':
-        handleChunk(request, link, body.value);
+        responses.handleChunk(request, link, body.value);
         break;
       case 'finished':
-        handleFinish(request, link, body.value);
+        responses.handleFinish(request, link, body.value);
         break;
       case 'statusReport':
         handleStatus(request, link, body.value.outcome);
@@ -200,68 +199,6 @@
     links.send(link.id, request.id, { $case: 'statusQuery', value: { grantId } });
   }
 
-  function isFromDispatchedAgent(request: PendingRequest, link: AgentLink): boolean {
-    return request.grant?.agentId === link.id && request.state !== 'ended';
-  }
-
-  function handleStart(
-    request: PendingRequest,
-    link: AgentLink,
-    status: number,
-    headers: { name: string; value: string }[],
-  ): void {
-    if (!isFromDispatchedAgent(request, link) || request.state === 'streaming') return;
-    request.state = 'streaming';
-    request.sink.start(status, headers, link.id);
-  }
-
-  function handleChunk(request: PendingRequest, link: AgentLink, chunk: Chunk): void {
-    if (!isFromDispatchedAgent(request, link)) return;
-    const overlap = request.receivedBytes - chunk.offset;
-    if (overlap < 0) {
-      reattach(request, link);
-      return;
-    }
-    if (overlap >= chunk.data.length) return;
-    const data = chunk.data.subarray(overlap);
-    request.receivedBytes += data.length;
-    request.sink.write(data, () => addCredit(request, link, data.length));
-  }
-
-  /** Sends credit in large batches to keep the overhead for each event of a stream low. */
-  function addCredit(request: PendingRequest, link: AgentLink, bytes: number): void {
-    request.uncreditedBytes += bytes;
-    if (request.state === 'ended' || request.uncreditedBytes < CREDIT_BATCH_BYTES) return;
-    const value = { bytes: request.uncreditedBytes };
-    request.uncreditedBytes = 0;
-    links.send(link.id, request.id, { $case: 'credit', value });
-  }
-
-  function reattach(request: PendingRequest, link: AgentLink): void {
-    const value = { offset: request.receivedBytes, reserve: toReserve(request) };
-    links.send(link.id, request.id, { $case: 'attach', value });
-  }
-
-  function handleFinish(request: PendingRequest, link: AgentLink, finished: Finished): void {
-    if (!isFromDispatchedAgent(request, link)) return;
-    if (finished.outcome === 'not_run') {
-      returnToWaiting(request, link);
-      return;
-    }
-    const stats = toRunStats(link.id, finished);
-    if (finished.outcome !== 'complete') {
-      fail(request, toFinishProblem(request, finished), stats);
-      return;
-    }
-    if (finished.length === request.receivedBytes) {
-      finish(request);
-      request.sink.end({ kind: 'complete', stats });
-      return;
-    }
-    if (finished.length > request.receivedBytes) reattach(request, link);
-    else fail(request, toRunFailure(request, 'cut', 'the answer had a wrong length'), stats);
-  }
-
   function returnToWaiting(request: PendingRequest, link: AgentLink): void {
     releaseGrant(request);
     request.state = 'waiting';
@@ -270,9 +207,9 @@
   }
 
   function handleStatus(request: PendingRequest, link: AgentLink, outcome: string): void {
-    if (!isFromDispatchedAgent(request, link)) return;
+    if (!isDispatchedTo(request, link)) return;
     if (outcome === 'voided' && request.state === 'dispatched') returnToWaiting(request, link);
-    else if (outcome === 'started') reattach(request, link);
+    else if (outcome === 'started') responses.reattach(request, link);
   }
 
   function handleConnected(link: AgentLink): void {
@@ -287,7 +224,7 @@
     request.lostAt = undefined;
     const isSame = request.grant?.incarnation === link.incarnation;
     if (isSame && request.state === 'dispatched') queryStatus(request, link);
-    else if (request.state === 'streaming') reattach(request, link);
+    else if (request.state === 'streaming') responses.reattach(request, link);
     else if (!isSame) void failAsLost(request, 'the agent was restarted before the answer began');
   }
 
