--- a/src/gateway/callAdmission.ts
+++ b/src/gateway/callAdmission.ts
@@ -27,7 +27,10 @@
   readonly expectedWaitMs: number;
 }
 
-/** Looks up the route of a request; `share` (0 to 1) selects among the targets of a split route. */
+/**
+ * Looks up the route of a request. `share` (0 to 1) selects among the targets of a split route, and
+ * spreads the times at which callers return that are refused while there is no table.
+ */
 export function admit(state: TableState, head: RequestHead, share: number): Admission {
   const { index } = state;
   if (index === undefined) {
