--- a/src/common/logSink.ts
+++ b/src/common/logSink.ts
@@ -19,8 +19,8 @@
   write(line: string): void;
   /** Returns the number of lines dropped since the previous call. */
   takeDroppedCount(): number;
-  /** Writes the buffered lines. Resolves to false if the reader does not take them in time. */
-  flush(): Promise<boolean>;
+  /** Writes the buffered lines. Resolves once the reader has taken them, or after a timeout. */
+  flush(): Promise<void>;
   /** Writes the buffered lines before the process exits, as far as the reader takes them in time. */
   flushSync(): void;
   /** Whether a thread is blocked in a write because the reader takes nothing. */
@@ -61,8 +61,8 @@
     },
     flush: () =>
       new Promise((resolve) => {
-        setTimeout(() => resolve(false), FLUSH_TIMEOUT_MS);
-        startFlush(() => resolve(true));
+        setTimeout(resolve, FLUSH_TIMEOUT_MS);
+        startFlush(resolve);
       }),
     flushSync() {
       attemptsLeft = FINAL_WRITE_ATTEMPTS;
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -3,6 +3,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
 import { VirtualClock } from '../../../src/common/clock.js';
+import { delay } from '../../../src/common/delay.js';
 import {
   startCallHandler,
   type CallHandler,
@@ -275,9 +276,7 @@
       clock.advance(DRIBBLE_INTERVAL_MS);
       exchanges[0]?.onData(Buffer.from(':'));
     }, DRIBBLE_INTERVAL_MS);
-    await new Promise((resolve) => {
-      setTimeout(resolve, 2 * DRIBBLE_WAIT_MS);
-    });
+    await delay(2 * DRIBBLE_WAIT_MS);
     clearInterval(timer);
     assert.equal(summaries[0]?.outcome, 'timedOut');
     assert.deepEqual(started.statuses, [504]);
--- a/test/unit/gateway/endlessBytes.test.ts
+++ b/test/unit/gateway/endlessBytes.test.ts
@@ -6,11 +6,14 @@
 import assert from 'node:assert/strict';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { describe, it } from 'node:test';
+import { delay } from '../../../src/common/delay.js';
 import { createEndpointClient } from '../../../src/gateway/endpointClient.js';
 
 /** Bytes that an endpoint may send before its connection is closed, with those in transit. */
 const MAX_BYTES = 8 * 1024 * 1024;
 const FILLER_BYTES = 64 * 1024;
+/** Time that a close takes to reach the endpoint. */
+const CLOSE_DELAY_MS = 50;
 
 interface Observation {
   failure: string | undefined;
@@ -60,9 +63,7 @@
         },
       );
     });
-    await new Promise((resolve) => {
-      setTimeout(resolve, 50);
-    });
+    await delay(CLOSE_DELAY_MS);
     return { ...seen };
   } finally {
     client.close();
