Log which requests and shared prompt parts were under way when an endpoint crashed

Event 5010 lists, for each crash as one gateway sees it, the interrupted requests without a response yet and the parts of their prompts that other requests may share. One probe now serves all responses that an endpoint breaks off at a time, instead of one probe each.

Counting is unchanged here.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -12,7 +12,8 @@
 import type { GatewayReport } from '../generated/control.js';
 import type { CallSummary } from '../gateway/callHandler.js';
 import { startCallServer } from '../gateway/callServer.js';
-import { createCrashSuspects } from '../gateway/crashSuspects.js';
+import { createCrashDetector } from '../gateway/crashDetector.js';
+import { createCrashSuspects, getCallDigest } from '../gateway/crashSuspects.js';
 import { createEndpointTracker } from '../gateway/endpointTracker.js';
 import { createQuotas } from '../gateway/quotas.js';
 import { createRetryBudget } from '../gateway/retryBudget.js';
@@ -76,6 +77,12 @@
   );
   const stallDetector = createStallDetector(now);
   const crashSuspects = createCrashSuspects(now);
+  const crashDetector = createCrashDetector({
+    logger,
+    onCrash(_endpoint, interrupted) {
+      for (const { call } of interrupted) crashSuspects.recordCrash(getCallDigest(call));
+    },
+  });
   const scheduler = createScheduler({
     now,
     random: Math.random,
@@ -127,6 +134,7 @@
       endpoints,
       retryBudget,
       stallDetector,
+      crashDetector,
       crashSuspects,
       onEnd: recordCallEnd,
     },
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logging.js';
 import { createAttempt, type Attempt } from './attempt.js';
+import type { CrashDetector } from './crashDetector.js';
 import { getCallDigest, type CrashSuspects } from './crashSuspects.js';
 import type { Endpoint, EndpointTracker } from './endpointTracker.js';
 import { createEventSplitter } from './eventSplitter.js';
@@ -40,6 +41,7 @@
   endpoints: EndpointTracker;
   retryBudget: RetryBudget;
   stallDetector: StallDetector;
+  crashDetector: CrashDetector;
   crashSuspects: CrashSuspects;
   /** Called once when the call has ended. */
   onEnd(summary: CallSummary): void;
@@ -287,11 +289,8 @@
       failAttempt(attempt, { kind: 'notSent', reason });
       return;
     }
-    const { crashSuspects } = host;
-    const digest = getCallDigest(call);
-    void attempt.endpoint.client.isReachable().then((isReachable) => {
-      if (!isReachable) crashSuspects.recordCrash(digest);
-    });
+    const hasBegun = attempt.lastByteAt !== undefined || splitter?.lastEventId !== undefined;
+    host.crashDetector.recordInterruption(attempt.endpoint, { call, hasBegun });
     failAttempt(attempt, { kind: 'unknown', reason });
   }
 
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -24,6 +24,11 @@
   /** How long the caller waits for the response, in milliseconds. */
   waitMs: number | undefined;
   tokens: TokenCounts | undefined;
+  /**
+   * Ids of the parts of the prompt that other requests may have in common with this one: all but
+   * the last, which belongs to the request or its session.
+   */
+  sharedParts: readonly string[];
   /** Id of the last event of this stream that the caller has received. */
   resumeAfter: string | undefined;
   /** Alternating names and values, as forwarded to the endpoint. */
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -13,8 +13,9 @@
 import type { Endpoint } from '../../../src/gateway/endpointTracker.js';
 import type { PlacementRequest } from '../../../src/gateway/scheduler.js';
 import type { WatchedAttempt } from '../../../src/gateway/stallDetector.js';
-import type { Call, ResponseHead } from '../../../src/gateway/types.js';
-import type { Route, RouteKind } from '../../../src/routing/types.js';
+import type { ResponseHead } from '../../../src/gateway/types.js';
+import type { RouteKind } from '../../../src/routing/types.js';
+import { createTestCall, createTestRoute } from '../../fixtures/gatewayCall.js';
 import { createTestEndpoint } from '../../fixtures/gatewayEndpoint.js';
 
 const ARRIVED_AT = 1_000;
@@ -31,50 +32,6 @@
   headers: [],
 };
 
-function createRoute(kind: RouteKind, maxAttempts: number, timeoutMs = WAIT_MS): Route {
-  return {
-    name: 'route',
-    host: 'a.example',
-    prefix: '/',
-    kind,
-    timeoutMs,
-    objectiveMs: 500,
-    pauseObjectiveMs: undefined,
-    rank: 1,
-    targets: [{ pool: 'pool', weight: 1 }],
-    maxAttempts,
-    isPublic: true,
-    isResumable: kind === 'stream',
-  };
-}
-
-function createCall(route: Route): Call {
-  const head = {
-    id: 'call-1',
-    method: 'GET',
-    target: '/',
-    host: 'a.example',
-    path: '/',
-    key: undefined,
-    waitMs: WAIT_MS,
-    tokens: undefined,
-    resumeAfter: undefined,
-    headers: [],
-  };
-  return {
-    head,
-    route,
-    pool: 'pool',
-    team: undefined,
-    revision: 1,
-    body: undefined,
-    relativeWork: 1,
-    waitedMs: 0,
-    arrivedAt: ARRIVED_AT,
-    deadline: ARRIVED_AT + route.timeoutMs,
-  };
-}
-
 /** Starts a handler whose dependencies are all controlled by the test. */
 function startHandler(
   kind: RouteKind,
@@ -135,6 +92,7 @@
         check() {},
         close() {},
       },
+      crashDetector: { recordInterruption() {} },
       crashSuspects: {
         size: 0,
         recordCrash() {},
@@ -144,7 +102,7 @@
       },
       onEnd: (summary) => summaries.push(summary),
     },
-    createCall(createRoute(kind, maxAttempts, waitMs)),
+    createTestCall({}, createTestRoute({ kind, maxAttempts, timeoutMs: waitMs }), ARRIVED_AT),
     {
       hasStarted: false,
       start() {},
--- /dev/null
+++ b/test/unit/platform/dialect.test.ts
@@ -0,0 +1,28 @@
+/** What the adapter reads from the headers of requests and responses. */
+
+import assert from 'node:assert/strict';
+import type { IncomingMessage } from 'node:http';
+import { describe, it } from 'node:test';
+import { platformDialect } from '../../../platform/dialect.js';
+
+function parse(headers: Record<string, string>) {
+  const request = {
+    method: 'POST',
+    url: '/a/1',
+    headers: { host: 'a.example', 'turmericrack-attempt-id': 'call-1', ...headers },
+    rawHeaders: Object.entries(headers).flat(),
+  } as unknown as IncomingMessage;
+  return platformDialect.tryParseRequest(request);
+}
+
+describe('the dialect', () => {
+  it('names the parts of a prompt that other requests may have in common, in order', () => {
+    const head = parse({ 'turmericrack-prefix-hash': '5c1e07a2:800, 91bd3f06:410,e4402b7d:250' });
+    assert.deepEqual(head?.sharedParts, ['5c1e07a2', '91bd3f06']);
+  });
+
+  it('names no shared parts of a prompt that is all its own, or of a request without one', () => {
+    assert.deepEqual(parse({ 'turmericrack-prefix-hash': 'e4402b7d:250' })?.sharedParts, []);
+    assert.deepEqual(parse({})?.sharedParts, []);
+  });
+});
