Refuse prompts with a part that crashes endpoints, at all gateways

Cause: crashes were counted by the digest of a whole request. What crashes engines may be only a part of it, and then no two requests have the same digest. The class: evidence was collected under the identity of a request instead of under what requests have in common, and nothing counted against a suspicion.

Change: a crash is recorded under each trait of the requests whose responses had not begun: their content and each part of their prompts that others may share. A response that begins clears its traits. The fewest traits that explain the crashes are refused, so neither sound requests with the same first part nor bystanders are. Records form a set that merges in any order; gateways and keepers hold all of it and send changes with their regular messages, everything to a new peer, so a restart or a cut of any of them loses nothing.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -8,12 +8,13 @@
 import type { MetricsRecorder } from '../common/metricsRecorder.js';
 import { createPeerMetadata, resolveAddress } from '../common/rpc.js';
 import type { GatewayProcessSettings } from '../common/settings.js';
+import { createCrashRecords } from '../crashes/crashRecords.js';
 import { createFeedClient } from '../feed/feedClient.js';
 import type { GatewayReport } from '../generated/control.js';
 import type { CallSummary } from '../gateway/callHandler.js';
 import { startCallServer } from '../gateway/callServer.js';
 import { createCrashDetector } from '../gateway/crashDetector.js';
-import { createCrashSuspects, getCallDigest } from '../gateway/crashSuspects.js';
+import { createCrashSuspects } from '../gateway/crashSuspects.js';
 import { createEndpointTracker } from '../gateway/endpointTracker.js';
 import { createQuotas } from '../gateway/quotas.js';
 import { createRetryBudget } from '../gateway/retryBudget.js';
@@ -76,12 +77,12 @@
     () => quotas.gatewayCount,
   );
   const stallDetector = createStallDetector(now);
-  const crashSuspects = createCrashSuspects(now);
+  const crashRecords = createCrashRecords(now);
+  const crashSuspects = createCrashSuspects({ now, logger, records: crashRecords });
   const crashDetector = createCrashDetector({
     logger,
-    onCrash(_endpoint, interrupted) {
-      for (const { call } of interrupted) crashSuspects.recordCrash(getCallDigest(call));
-    },
+    onCrash: ({ announcement }, interrupted) =>
+      crashSuspects.recordCrash(announcement, interrupted),
   });
   const scheduler = createScheduler({
     now,
@@ -102,6 +103,8 @@
     isSelf: () => false,
     tryGetReport: createReport,
     listAnnouncements: () => registry.list(),
+    crashRecords,
+    onCrashRecords: crashSuspects.receive,
     onTable: tableView.receive,
     onAnnouncements(announcements) {
       for (const announcement of announcements) registry.merge(announcement);
@@ -112,7 +115,6 @@
       for (const report of reports) {
         endpoints.applyReport(report);
         quotas.applyReport(report);
-        crashSuspects.applyReport(report);
       }
       scheduler.reevaluate();
     },
@@ -180,7 +182,6 @@
       incarnation,
       loads: endpoints.listLoads(),
       uses: quotas.listUses(),
-      crashes: crashSuspects.listCounts(),
       waiting: scheduler.waitingCount,
     };
   }
--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -7,6 +7,7 @@
 import type { MetricsRecorder } from '../common/metricsRecorder.js';
 import { resolveAddress } from '../common/rpc.js';
 import type { KeeperProcessSettings } from '../common/settings.js';
+import { createCrashRecords } from '../crashes/crashRecords.js';
 import { createFeedClient } from '../feed/feedClient.js';
 import { createFeedServer } from '../feed/feedServer.js';
 import type { Announcement, ControlServer } from '../generated/control.js';
@@ -45,6 +46,7 @@
 export async function startKeeperControl(host: KeeperControlHost): Promise<KeeperControl> {
   const { settings, clock, logger, metadata, peers } = host;
   const registry = createEndpointRegistry();
+  const crashRecords = createCrashRecords(() => clock.now());
   const authority = createTableAuthority({
     metadata,
     tryGetReplica: host.tryGetReplica,
@@ -55,6 +57,7 @@
     logger,
     deployment: settings.deployment,
     registry,
+    crashRecords,
     getTable: () => authority.current,
     readConfirmedTable,
     listKeepers,
@@ -73,6 +76,8 @@
     isSelf: (address) => address === settings.keeper.listen,
     tryGetReport: () => undefined,
     listAnnouncements: () => registry.list(),
+    crashRecords,
+    onCrashRecords: (records) => records.forEach(crashRecords.merge),
     onTable() {},
     onAnnouncements: (announcements) => announcements.forEach(announce),
     onReports() {},
--- a/src/feed/feedClient.ts
+++ b/src/feed/feedClient.ts
@@ -7,10 +7,12 @@
 import type { ClientDuplexStream, Metadata } from '@grpc/grpc-js';
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logging.js';
+import type { CrashRecords } from '../crashes/crashRecords.js';
 import { channelOptions, peerCredentials } from '../common/rpc.js';
 import {
   ControlClient,
   type Announcement,
+  type CrashRecord,
   type FeedMessage,
   type FeedUpdate,
   type GatewayReport,
@@ -42,6 +44,9 @@
   tryGetReport(): GatewayReport | undefined;
   /** All announcements known to this process; sent to a keeper when a stream to it is opened. */
   listAnnouncements(): Announcement[];
+  /** Sent to each keeper as they change. */
+  crashRecords: Pick<CrashRecords, 'version' | 'listChangedSince'>;
+  onCrashRecords(records: CrashRecord[]): void;
   onTable(table: TableDocument, isConfirmed: boolean): void;
   onAnnouncements(announcements: Announcement[]): void;
   onReports(reports: GatewayReport[]): void;
@@ -64,6 +69,8 @@
   activeAt: number;
   reconnectAt: number;
   reconnectDelayMs: number;
+  /** Version of the crash records up to which they have been sent on the current stream. */
+  sentCrashVersion: number;
   /** Addresses of the cluster's members, as last sent by this keeper. */
   keepers: string[];
 }
@@ -91,7 +98,10 @@
     for (const link of links.values()) {
       if (link.stream !== undefined && now - link.activeAt > IDLE_TIMEOUT_MS) drop(link, 'silent');
       if (link.stream === undefined && now >= link.reconnectAt) openStream(link);
-      if (link.isConnected) send(link, { report, wantsReports: link === reportSource });
+      if (!link.isConnected) continue;
+      const crashRecords = host.crashRecords.listChangedSince(link.sentCrashVersion);
+      link.sentCrashVersion = host.crashRecords.version;
+      send(link, { report, wantsReports: link === reportSource, crashRecords });
     }
   }
 
@@ -123,6 +133,7 @@
       activeAt: 0,
       reconnectAt: 0,
       reconnectDelayMs: MIN_RECONNECT_DELAY_MS,
+      sentCrashVersion: 0,
       keepers: [],
     };
   }
@@ -134,6 +145,7 @@
   function openStream(link: KeeperLink): void {
     const stream = link.client.feed(host.metadata);
     link.stream = stream;
+    link.sentCrashVersion = 0;
     link.activeAt = clock.now();
     stream.on('data', (update: FeedUpdate) => {
       if (link.stream === stream) handleUpdate(link, update);
@@ -157,6 +169,7 @@
     if (update.announcements.length > 0) host.onAnnouncements(update.announcements);
     if (update.table !== undefined) host.onTable(update.table, update.confirmed);
     if (update.reports.length > 0) host.onReports(update.reports);
+    if (update.crashRecords.length > 0) host.onCrashRecords(update.crashRecords);
   }
 
   function drop(link: KeeperLink, reason: string): void {
@@ -184,6 +197,7 @@
       wantsReports: false,
       report: undefined,
       announcements: [],
+      crashRecords: [],
       ...message,
     });
   }
--- a/src/feed/feedServer.ts
+++ b/src/feed/feedServer.ts
@@ -8,6 +8,7 @@
 import type { ServerDuplexStream } from '@grpc/grpc-js';
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logging.js';
+import type { CrashRecords } from '../crashes/crashRecords.js';
 import type { Announcement, FeedMessage, FeedUpdate, GatewayReport } from '../generated/control.js';
 import type { TableDocument } from '../generated/keeper.js';
 import type { EndpointRegistry } from '../registry/registry.js';
@@ -25,6 +26,7 @@
   logger: Logger;
   deployment: string;
   registry: EndpointRegistry;
+  crashRecords: CrashRecords;
   /** The newest table that is committed as far as this keeper knows. */
   getTable(): TableDocument;
   /** The table that a majority confirms to be in force; undefined if none can be confirmed now. */
@@ -50,6 +52,8 @@
   wantsReports: boolean;
   /** Whether it has been sent a table that a majority of keepers confirmed. */
   isTableConfirmed: boolean;
+  /** Version of the crash records up to which they have been sent. */
+  sentCrashVersion: number;
   /** Comma-separated keeper addresses last sent; the list is sent again only when it changes. */
   lastSentKeepers: string;
 }
@@ -75,6 +79,7 @@
       stream,
       wantsReports: false,
       isTableConfirmed: false,
+      sentCrashVersion: 0,
       lastSentKeepers: '',
     };
     stream.on('data', (message: FeedMessage) => handleMessage(subscriber, message));
@@ -91,6 +96,7 @@
     subscriber.wantsReports = message.wantsReports;
     if (!subscribers.has(subscriber)) addSubscriber(subscriber, message.followerId);
     for (const announcement of message.announcements) announce(announcement);
+    for (const record of message.crashRecords) host.crashRecords.merge(record);
     const { report } = message;
     if (report === undefined) return;
     reports.set(report.gatewayId, { report, receivedAt: clock.now() });
@@ -154,7 +160,13 @@
       const isListChanged = subscriber.lastSentKeepers !== keeperList;
       subscriber.lastSentKeepers = keeperList;
       const reportsToSend = subscriber.wantsReports ? listRecentReports(subscriber, now) : [];
-      send(subscriber, { keepers: isListChanged ? keepers : [], reports: reportsToSend });
+      const crashRecords = host.crashRecords.listChangedSince(subscriber.sentCrashVersion);
+      subscriber.sentCrashVersion = host.crashRecords.version;
+      send(subscriber, {
+        keepers: isListChanged ? keepers : [],
+        reports: reportsToSend,
+        crashRecords,
+      });
     }
     void sendConfirmedTable();
   }
@@ -177,6 +189,7 @@
       announcements: [],
       keepers: [],
       reports: [],
+      crashRecords: [],
       ...update,
     });
   }
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -7,7 +7,7 @@
 import type { Logger } from '../common/logging.js';
 import { createAttempt, type Attempt } from './attempt.js';
 import type { CrashDetector } from './crashDetector.js';
-import { getCallDigest, type CrashSuspects } from './crashSuspects.js';
+import { suspectReply, type CrashSuspects } from './crashSuspects.js';
 import type { Endpoint, EndpointTracker } from './endpointTracker.js';
 import { createEventSplitter } from './eventSplitter.js';
 import type { LocalReply, ResponseWriter } from './responseWriter.js';
@@ -93,6 +93,8 @@
   let placedMs = 0;
   let firstMs = 0;
   let pauseMs = 0;
+  /** Whether the response has begun at any endpoint. */
+  let hasBegun = requestHead.resumeAfter !== undefined;
   /** When data was last forwarded to the caller; the time of arrival if none was yet. */
   let lastForwardedAt = call.arrivedAt;
   const placement: PlacementRequest = {
@@ -135,9 +137,9 @@
       releaseSlot(endpoint);
       return;
     }
-    if (host.crashSuspects.size > 0 && host.crashSuspects.isSuspect(getCallDigest(call))) {
+    if (host.crashSuspects.isSuspect(call)) {
       releaseSlot(endpoint);
-      endInFailure('several endpoints crashed while running this request');
+      refuseSuspect();
       return;
     }
     const now = clock.now();
@@ -232,11 +234,19 @@
       return true;
     }
     if (bytes === undefined) return true;
+    // The first chunk may be the beginning of an event that an endpoint did not survive.
+    if (splitter !== undefined || attempt.chunkCount > 1) recordBegun();
     if (!writer.hasStarted) startResponse(head);
     lastForwardedAt = clock.now();
     return writer.write(bytes);
   }
 
+  function recordBegun(): void {
+    if (hasBegun) return;
+    hasBegun = true;
+    host.crashSuspects.recordBegun(call);
+  }
+
   function startResponse(head: ResponseHead): void {
     firstMs = clock.now() - call.arrivedAt;
     writer.start(head);
@@ -257,6 +267,7 @@
     if (isFailure) attempt.endpoint.health.recordErrorResponse(clock.now());
     else attempt.endpoint.health.recordSuccess();
     attempt.recordEnd();
+    recordBegun();
     if (writer.hasStarted && head.status >= 300) {
       // The resumed part of a stream failed, so the caller has only a part of the response.
       abandon(attempt, 'failed', 0, `resuming the stream failed with status ${head.status}`);
@@ -289,7 +300,6 @@
       failAttempt(attempt, { kind: 'notSent', reason });
       return;
     }
-    const hasBegun = attempt.lastByteAt !== undefined || splitter?.lastEventId !== undefined;
     host.crashDetector.recordInterruption(attempt.endpoint, { call, hasBegun });
     failAttempt(attempt, { kind: 'unknown', reason });
   }
@@ -356,6 +366,15 @@
     finish('refused', reply.status, reason);
   }
 
+  function refuseSuspect(): void {
+    if (runCount > 0) {
+      endInFailure(suspectReply.reason);
+      return;
+    }
+    writer.writeLocalReply(suspectReply);
+    finish('refused', suspectReply.status, suspectReply.reason);
+  }
+
   function endInFailure(reason: string): void {
     if (writer.hasStarted) writer.destroy();
     else writer.writeLocalReply({ status: 502, reason: 'the outcome of the request is not known' });
--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -8,6 +8,7 @@
 import type { Logger } from '../common/logging.js';
 import type { CallerLimits } from '../routing/types.js';
 import { admit, consumeQuota, type TableState } from './callAdmission.js';
+import { suspectReply } from './crashSuspects.js';
 import { startCallHandler, type CallHandler, type CallHandlerHost } from './callHandler.js';
 import type { Quotas } from './quotas.js';
 import { createResponseWriter, type LocalReply, type ResponseWriter } from './responseWriter.js';
@@ -131,6 +132,10 @@
       return undefined;
     }
     const { route, pool, team } = admission.request;
+    if (host.handlerHost.crashSuspects.isSuspect({ head, team, body })) {
+      refuse(writer, request, head, suspectReply);
+      return undefined;
+    }
     const exceeded = consumeQuota(host.quotas, team, head);
     if (exceeded !== undefined) {
       refuse(writer, request, head, exceeded);
--- a/src/gateway/crashSuspects.ts
+++ b/src/gateway/crashSuspects.ts
@@ -1,80 +1,151 @@
 /**
- * Identifies requests that crash the endpoints running them, by a digest of their content, across
- * all gateways. A crash is counted for every request that was running when its endpoint went away.
- * This includes requests that were merely interrupted by another one's crash, so a request becomes
- * a suspect only after several crashes.
+ * Keeps requests that crash endpoints from being sent. After a crash, every trait of the requests
+ * whose responses the endpoint had not begun is recorded, unless other requests with the trait have
+ * been served. Records are shared by all gateways; a trait that explains several crashes is refused.
  */
 
 import { createHash } from 'node:crypto';
-import type { CrashCount, GatewayReport } from '../generated/control.js';
+import type { Logger } from '../common/logging.js';
+import type { CrashRecords } from '../crashes/crashRecords.js';
+import { findResponsibleTraits } from '../crashes/responsibility.js';
+import type { Announcement, CrashRecord } from '../generated/control.js';
+import type { InterruptedCall } from './crashDetector.js';
+import type { LocalReply } from './responseWriter.js';
 import type { Call } from './types.js';
 
-const MAX_CRASHES = 3;
-const RETENTION_MS = 60_000;
-const MAX_ENTRIES = 2_000;
+/** Time for which a response that has begun shows that the parts of its prompt are harmless. */
+const BEGUN_RETENTION_MS = 15_000;
+const MAX_BEGUN_PARTS = 8_192;
+/** Specificity of the whole content of a request; parts of prompts have their position. */
+const CONTENT_SPECIFICITY = 1_000_000;
+const SUSPECT_RETRY_AFTER_MS = 60 * 60 * 1_000;
 
-/** Crash counts by content digest. */
+/** Reply to a request that is not sent to any endpoint. */
+export const suspectReply: LocalReply = {
+  status: 503,
+  reason: 'requests like this one crash endpoints',
+  retryAfterMs: SUSPECT_RETRY_AFTER_MS,
+};
+
+/** The content of a request, as far as its traits depend on it. */
+export type RequestContent = Pick<Call, 'head' | 'team' | 'body'>;
+
+/** Dependencies of the suspects. */
+export interface CrashSuspectsHost {
+  now(): number;
+  logger: Logger;
+  records: CrashRecords;
+}
+
+/** Requests that crash endpoints, as known to one gateway. */
 export interface CrashSuspects {
-  /** 0 if no crashes are recorded here or reported by other gateways. */
-  readonly size: number;
-  /** Whether requests with this content must not be sent to any endpoint. */
-  isSuspect(digest: string): boolean;
-  recordCrash(digest: string): void;
-  applyReport(report: GatewayReport): void;
-  /** Crashes seen by this gateway, for its own report. */
-  listCounts(): CrashCount[];
+  /** Whether the request must not be sent to any endpoint. */
+  isSuspect(content: RequestContent): boolean;
+  /** Records that the response to a request has begun. */
+  recordBegun(content: RequestContent): void;
+  recordCrash(endpoint: Announcement, interrupted: readonly InterruptedCall[]): void;
+  /** Merges records of other gateways. */
+  receive(records: readonly CrashRecord[]): void;
 }
 
-interface Count {
-  crashes: number;
-  at: number;
+interface Trait {
+  trait: string;
+  specificity: number;
 }
 
-/** Returns a digest of the content of a call: target, team and body. */
-export function getCallDigest({ head, team, body }: Call): string {
+/** Returns a digest of the content of a request: target, team and body. */
+export function getContentDigest({ head, team, body }: RequestContent): string {
   const hash = createHash('sha256').update(`${head.target}\n${team?.name ?? ''}\n`);
   if (body !== undefined) hash.update(body);
   return hash.digest('base64url').slice(0, 22);
 }
 
-export function createCrashSuspects(now: () => number): CrashSuspects {
-  const own = new Map<string, Count>();
-  const peers = new Map<string, Map<string, number>>();
-
-  return {
-    get size() {
-      return own.size + peers.size;
-    },
-    isSuspect,
-    recordCrash,
-    applyReport,
-    listCounts,
-  };
-
-  function isSuspect(digest: string): boolean {
-    let crashes = own.get(digest)?.crashes ?? 0;
-    for (const counts of peers.values()) crashes += counts.get(digest) ?? 0;
-    return crashes >= MAX_CRASHES;
+export function createCrashSuspects(host: CrashSuspectsHost): CrashSuspects {
+  const { now, logger, records } = host;
+  /** When responses last began, by part of the prompt; the least recent first. */
+  const begunParts = new Map<string, number>();
+  let responsible = new Set<string>();
+  let evaluatedVersion = records.version;
+
+  return { isSuspect, recordBegun, recordCrash, receive };
+
+  function isSuspect(content: RequestContent): boolean {
+    evaluate();
+    if (responsible.size === 0) return false;
+    return listTraits(content).some(({ trait }) => responsible.has(trait));
   }
 
-  function recordCrash(digest: string): void {
-    dropOld();
-    own.set(digest, { crashes: (own.get(digest)?.crashes ?? 0) + 1, at: now() });
+  function recordBegun(content: RequestContent): void {
+    const time = now();
+    for (const part of content.head.sharedParts) {
+      const trait = getPartTrait(part);
+      begunParts.delete(trait);
+      begunParts.set(trait, time);
+    }
+    for (const [trait] of begunParts) {
+      if (begunParts.size <= MAX_BEGUN_PARTS) break;
+      begunParts.delete(trait);
+    }
+    if (records.size > 0) listTraits(content).forEach(clear);
   }
 
-  function dropOld(): void {
-    const oldest = now() - RETENTION_MS;
-    for (const [digest, { at }] of own) {
-      if (at < oldest || own.size >= MAX_ENTRIES) own.delete(digest);
+  function recordCrash(endpoint: Announcement, interrupted: readonly InterruptedCall[]): void {
+    const crash = `${endpoint.endpointId} ${endpoint.bornAtMs}`;
+    for (const { call, hasBegun } of interrupted) {
+      if (hasBegun) continue;
+      for (const { trait, specificity } of listTraits(call)) {
+        if (hasBegunRecently(trait)) continue;
+        records.merge({ trait, specificity, crashes: [crash], isCleared: false, ageMs: 0 });
+      }
     }
+    evaluate();
   }
 
-  function applyReport({ gatewayId, crashes }: GatewayReport): void {
-    if (crashes.length === 0) peers.delete(gatewayId);
-    else peers.set(gatewayId, new Map(crashes.map((count) => [count.digest, count.crashes])));
+  function receive(received: readonly CrashRecord[]): void {
+    for (const record of received) {
+      if (records.merge(record) && hasBegunRecently(record.trait)) clear(record);
+    }
+    evaluate();
   }
 
-  function listCounts(): CrashCount[] {
-    return [...own].map(([digest, { crashes }]) => ({ digest, crashes }));
+  function hasBegunRecently(trait: string): boolean {
+    const begunAt = begunParts.get(trait);
+    return begunAt !== undefined && now() - begunAt <= BEGUN_RETENTION_MS;
   }
+
+  /** Marks the record of a trait, if there is one, as no evidence. */
+  function clear({ trait, specificity }: Trait): void {
+    const known = records.tryGet(trait);
+    if (known === undefined || known.isCleared) return;
+    records.merge({ trait, specificity, crashes: [], isCleared: true, ageMs: 0 });
+  }
+
+  /** Decides anew which traits are refused, if any record has changed. */
+  function evaluate(): void {
+    if (records.version === evaluatedVersion) return;
+    const before = responsible;
+    responsible = findResponsibleTraits(records.listChangedSince(0));
+    evaluatedVersion = records.version;
+    for (const trait of responsible) {
+      if (before.has(trait)) continue;
+      const crashes = records.tryGet(trait)?.crashes ?? [];
+      logger.event('crashTraitRefused', { trait, crashes: crashes.join(',') });
+    }
+    for (const trait of before) {
+      if (!responsible.has(trait)) logger.event('crashTraitAdmitted', { trait });
+    }
+  }
+}
+
+function listTraits(content: RequestContent): Trait[] {
+  const traits: Trait[] = content.head.sharedParts.map((part, position) => ({
+    trait: getPartTrait(part),
+    specificity: position,
+  }));
+  const trait = `content ${getContentDigest(content)}`;
+  return [...traits, { trait, specificity: CONTENT_SPECIFICITY }];
+}
+
+function getPartTrait(part: string): string {
+  return `part ${part}`;
 }
--- a/test/unit/gateway/quotas.test.ts
+++ b/test/unit/gateway/quotas.test.ts
@@ -98,7 +98,7 @@
       incarnation: 'a',
       loads: [],
       uses: quotas.listUses(),
-      crashes: [],
+
       waiting: 0,
     };
     const others = gateways.filter((other) => other !== quotas);
