Keep crash records on the keepers' disks

Callers would see: after a loss of power everywhere, engines crash again until three crashes have taught the gateways anew which prompts do it.

Cause: gateways and keepers hold the records in memory only; when all of them end at once, nobody holds them.

Change: each keeper writes its records to a file of its own, checked by a CRC and replaced as a whole, and merges it at its next start. No agreement is needed, since records merge in any order. Reading and writing of such files moves from the keeper's store to a module of its own.

A record keeps its age at a process that has just started (unit test, found by reading: it would have been renewed).

--- a/src/crashes/crashRecords.ts
+++ b/src/crashes/crashRecords.ts
@@ -62,7 +62,10 @@
     const known = stored.get(received.trait);
     const record = known === undefined ? received : mergeRecords(known.record, received);
     if (record === known?.record) return false;
-    const changedAt = Math.max(known?.changedAt ?? 0, now() - received.ageMs);
+    const changedAt = Math.max(
+      known?.changedAt ?? Number.NEGATIVE_INFINITY,
+      now() - received.ageMs,
+    );
     if (isExpired({ record, changedAt })) return false;
     version += 1;
     // Moves the record to the end, so that the map is ordered by version.
--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -1,5 +1,6 @@
 /** The control interface of a keeper for gateways, endpoints and operators of declared tables. */
 
+import { join } from 'node:path';
 import type { Metadata } from '@grpc/grpc-js';
 import type { Clock } from '../common/clock.js';
 import { describeFailure, toFailure } from '../common/failure.js';
@@ -7,6 +8,7 @@
 import type { MetricsRecorder } from '../common/metricsRecorder.js';
 import { resolveAddress } from '../common/rpc.js';
 import type { KeeperProcessSettings } from '../common/settings.js';
+import { startCrashRecordStore } from '../crashes/crashRecordStore.js';
 import { createCrashRecords } from '../crashes/crashRecords.js';
 import { createFeedClient } from '../feed/feedClient.js';
 import { createFeedServer } from '../feed/feedServer.js';
@@ -19,6 +21,8 @@
 import { createEndpointRegistry } from '../registry/registry.js';
 import type { Adapter } from './types.js';
 
+/** Name of the file in the data folder, beside the folder of the log. */
+const CRASH_RECORD_FILE = 'crashes';
 /** Interval of the heartbeats between keepers. */
 const PEER_HEARTBEAT_INTERVAL_MS = 300;
 
@@ -47,6 +51,12 @@
   const { settings, clock, logger, metadata, peers } = host;
   const registry = createEndpointRegistry();
   const crashRecords = createCrashRecords(() => clock.now());
+  const crashRecordStore = startCrashRecordStore({
+    clock,
+    logger,
+    records: crashRecords,
+    path: join(settings.keeper.dataFolder, CRASH_RECORD_FILE),
+  });
   const authority = createTableAuthority({
     metadata,
     tryGetReplica: host.tryGetReplica,
@@ -100,6 +110,7 @@
     service: createControlService(settings, authority, feedServer),
     publish,
     async close() {
+      crashRecordStore.close();
       feedClient.close();
       feedServer.close();
       await controlApi?.close();
--- a/src/keeper/store.ts
+++ b/src/keeper/store.ts
@@ -1,17 +1,14 @@
 /**
  * Durable state of a keeper: the files `identity`, `log` and `snapshot` in its data folder.
- * A record is a 4-byte length, a 4-byte CRC-32 of the payload and the payload, all big-endian. The
- * log is a sequence of batches, each of them one record with everything that one synced write
+ * The log is a sequence of batches, each of them one record with everything that one synced write
  * added. A batch is written only after the previous one is synced, so a power loss can damage only
  * the last one.
  */
 
 import { randomUUID } from 'node:crypto';
 import { existsSync, mkdirSync, readFileSync, renameSync } from 'node:fs';
-import { open, rename, type FileHandle } from 'node:fs/promises';
+import { open } from 'node:fs/promises';
 import { join } from 'node:path';
-import { crc32 } from 'node:zlib';
-import { delay } from '../common/delay.js';
 import { raise } from '../common/failure.js';
 import {
   LogBatch,
@@ -22,10 +19,15 @@
 } from '../generated/keeper.js';
 import type { InitialRaftState } from './raftCore.js';
 import { emptySnapshotHeader } from './raftLog.js';
-
-const RECORD_HEADER_BYTES = 8;
-const DISK_RETRY_DELAY_MS = 200;
-const retryableDiskErrors = new Set(['ENOSPC', 'EDQUOT', 'EIO']);
+import {
+  encodeRecord,
+  readRecord,
+  RECORD_HEADER_BYTES,
+  replaceFile,
+  retryOnDiskError,
+  syncFolder,
+  writeAll,
+} from '../common/recordFile.js';
 
 /** Contents of a store when it was opened. */
 export interface StoredState {
@@ -114,19 +116,6 @@
   }
 }
 
-/** Retries `run` while the disk is full or returns I/O errors. Any other error is thrown. */
-async function retryOnDiskError(run: () => Promise<void>): Promise<void> {
-  while (true) {
-    try {
-      await run();
-      return;
-    } catch (caught) {
-      if (!retryableDiskErrors.has((caught as NodeJS.ErrnoException).code ?? '')) throw caught;
-      await delay(DISK_RETRY_DELAY_MS);
-    }
-  }
-}
-
 /** Renames a corrupt data folder, so that the keeper can rejoin as a new member. */
 export function quarantineStore(folder: string, wallTime: number): void {
   renameSync(folder, `${folder}.corrupt-${wallTime}`);
@@ -196,19 +185,6 @@
   return false;
 }
 
-type ReadRecord =
-  { kind: 'record'; payload: Buffer; end: number } | { kind: 'incomplete' } | { kind: 'damaged' };
-
-function readRecord(bytes: Buffer, offset: number): ReadRecord {
-  const start = offset + RECORD_HEADER_BYTES;
-  if (start > bytes.length) return { kind: 'incomplete' };
-  const end = start + bytes.readUInt32BE(offset);
-  if (end > bytes.length) return { kind: 'incomplete' };
-  const payload = bytes.subarray(start, end);
-  if (crc32(payload) !== bytes.readUInt32BE(offset + 4)) return { kind: 'damaged' };
-  return { kind: 'record', payload, end };
-}
-
 function encodeBatch(hardState: HardState | undefined, entries: readonly LogEntry[]): Buffer {
   const records: LogRecord[] = entries.map((value) => ({ record: { $case: 'entry', value } }));
   if (hardState !== undefined) {
@@ -217,38 +193,3 @@
   if (records.length === 0) return Buffer.alloc(0);
   return encodeRecord(Buffer.from(LogBatch.encode({ records }).finish()));
 }
-
-function encodeRecord(payload: Buffer): Buffer {
-  const header = Buffer.alloc(RECORD_HEADER_BYTES);
-  header.writeUInt32BE(payload.length, 0);
-  header.writeUInt32BE(crc32(payload), 4);
-  return Buffer.concat([header, payload]);
-}
-
-async function writeAll(file: FileHandle, bytes: Buffer): Promise<void> {
-  let offset = 0;
-  while (offset < bytes.length) {
-    const { bytesWritten } = await file.write(bytes, offset);
-    offset += bytesWritten;
-  }
-}
-
-async function replaceFile(path: string, bytes: Buffer): Promise<void> {
-  const file = await open(`${path}.tmp`, 'w');
-  try {
-    await writeAll(file, bytes);
-    await file.sync();
-  } finally {
-    await file.close();
-  }
-  await rename(`${path}.tmp`, path);
-}
-
-async function syncFolder(folder: string): Promise<void> {
-  const handle = await open(folder, 'r');
-  try {
-    await handle.sync();
-  } finally {
-    await handle.close();
-  }
-}
--- a/test/unit/crashes/crashRecords.test.ts
+++ b/test/unit/crashes/crashRecords.test.ts
@@ -51,6 +51,14 @@
     assert.deepEqual([left.listChangedSince(0), right.listChangedSince(0)], [[], []]);
   });
 
+  it('keep their age at a process that has just started', () => {
+    let time = 0;
+    const records = createCrashRecords(() => time);
+    records.merge(createRecord('part', ['a'], { ageMs: SUSPECT_RETENTION_MS - 1_000 }));
+    time = 2_000;
+    assert.deepEqual(records.listChangedSince(0), []);
+  });
+
   it('keep those that explain several crashes when there are too many', () => {
     const records = createCrashRecords(() => 0);
     records.merge(createRecord('bad', ['a', 'b', 'c']));
