Send crash records to a gateway before the table that lets it serve

Cause: a keeper sent the table with its first message and the records with the next push, up to 100 ms later.

Change: the first message carries both, and the records are taken first.

Test: 'lets no gateway serve before it knows which requests crash endpoints' failed before (no records in the first message).

--- a/src/feed/feedClient.ts
+++ b/src/feed/feedClient.ts
@@ -167,9 +167,9 @@
     lastUpdateAt = link.activeAt;
     if (update.keepers.length > 0) link.keepers = update.keepers;
     if (update.announcements.length > 0) host.onAnnouncements(update.announcements);
+    if (update.crashRecords.length > 0) host.onCrashRecords(update.crashRecords);
     if (update.table !== undefined) host.onTable(update.table, update.confirmed);
     if (update.reports.length > 0) host.onReports(update.reports);
-    if (update.crashRecords.length > 0) host.onCrashRecords(update.crashRecords);
   }
 
   function drop(link: KeeperLink, reason: string): void {
--- a/src/feed/feedServer.ts
+++ b/src/feed/feedServer.ts
@@ -107,7 +107,10 @@
     subscribers.add(subscriber);
     logger.event('followerConnected', { follower: id, revision: host.getTable().revision });
     const table = host.getTable();
-    send(subscriber, { announcements: registry.list(), table });
+    // The table lets a gateway serve; by then it has to know which requests crash endpoints.
+    const crashRecords = host.crashRecords.listChangedSince(0);
+    subscriber.sentCrashVersion = host.crashRecords.version;
+    send(subscriber, { announcements: registry.list(), crashRecords, table });
     void sendConfirmedTable();
   }
 
