--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -61,7 +61,7 @@
     decode: dialect.decodeTable,
     onTable: applyTable,
   });
-  const endpoints = createEndpointTracker({ now, random: Math.random, registry });
+  const endpoints = createEndpointTracker({ logger, now, random: Math.random, registry });
   const quotas = createQuotas({
     now,
     slack: gateway.quotaSlack ?? 0,
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -3,6 +3,7 @@
  * all gateways.
  */
 
+import type { Logger } from '../common/logging.js';
 import type { Announcement, EndpointLoad, GatewayReport } from '../generated/control.js';
 import type { EndpointRegistry } from '../registry/registry.js';
 import { createEndpointClient, type EndpointClient } from './endpointClient.js';
@@ -20,6 +21,14 @@
 /** Time for which activity seen here overrides an ejection reported by another gateway. */
 const RECENT_MS = 300;
 
+/** What an endpoint last stated of the requests that it takes. */
+export interface RateStatement {
+  /** From all gateways together; undefined without a limit. */
+  perSecond: number | undefined;
+  /** Monotonic time of its response, in milliseconds. */
+  at: number;
+}
+
 /** One incarnation of an endpoint. */
 export interface Endpoint {
   readonly announcement: Announcement;
@@ -35,10 +44,13 @@
   lastActivityAt: number;
   /** Load that the endpoint reported with its latest response. */
   selfReported: (ReportedLoad & { at: number; ownRunning: number }) | undefined;
+  /** Undefined if it has never limited its requests. */
+  rateStatement: RateStatement | undefined;
 }
 
 /** Dependencies of the tracker. */
 export interface EndpointTrackerHost {
+  logger: Logger;
   now(): number;
   random(): number;
   registry: EndpointRegistry;
@@ -56,6 +68,8 @@
   getUnreadTokens(endpoint: Endpoint): number;
   applyReport(report: GatewayReport): void;
   recordLoad(endpoint: Endpoint, load: ReportedLoad): void;
+  /** Records what a response to a request that was sent at `sentAt` states of the request rate. */
+  recordRateStatement(endpoint: Endpoint, perSecond: number | undefined, sentAt: number): void;
   /** Loads and ejections of endpoints, for this gateway's own report. */
   listLoads(): EndpointLoad[];
   /** Number of gateways with recent reports, including this one. */
@@ -80,6 +94,7 @@
     getUnreadTokens,
     applyReport,
     recordLoad,
+    recordRateStatement,
     listLoads,
     get gatewayCount() {
       return countGateways();
@@ -115,6 +130,7 @@
       unreadTokens: 0,
       lastActivityAt: host.now(),
       selfReported: undefined,
+      rateStatement: undefined,
     };
   }
 
@@ -189,6 +205,32 @@
     endpoint.selfReported = { ...load, at: host.now(), ownRunning: endpoint.running };
   }
 
+  function recordRateStatement(
+    endpoint: Endpoint,
+    perSecond: number | undefined,
+    sentAt: number,
+  ): void {
+    const known = endpoint.rateStatement;
+    if (perSecond === undefined && known === undefined) return;
+    // A response to a request from before the last statement may have been begun before it, too.
+    if (perSecond === undefined && known !== undefined && sentAt < known.at) return;
+    endpoint.rateStatement = { perSecond, at: host.now() };
+    logRateChange(endpoint.announcement.endpointId, perSecond, known?.perSecond);
+  }
+
+  function logRateChange(
+    endpoint: string,
+    perSecond: number | undefined,
+    before: number | undefined,
+  ): void {
+    if (perSecond === before) return;
+    if (perSecond === undefined) {
+      host.logger.event('requestRateUnlimited', { endpoint, before: before ?? 0 });
+    } else {
+      host.logger.event('requestRateLimited', { endpoint, perSecond, before: before ?? 0 });
+    }
+  }
+
   function listLoads(): EndpointLoad[] {
     const loads: EndpointLoad[] = [];
     for (const [endpointId, { running, unreadTokens, health }] of endpoints) {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -72,6 +72,8 @@
   /** Whether the endpoint states that it did not run the request. */
   isNotRun: boolean;
   load: ReportedLoad | undefined;
+  /** Requests per second that the endpoint takes from all gateways together; undefined if any. */
+  maxRequestRate: number | undefined;
   /** Alternating names and values, as forwarded to the caller. */
   headers: string[];
 }
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -29,6 +29,7 @@
   isSigned: true,
   isNotRun: false,
   load: undefined,
+  maxRequestRate: undefined,
   headers: [],
 };
 
@@ -79,6 +80,7 @@
         getUnreadTokens: () => 0,
         applyReport() {},
         recordLoad() {},
+        recordRateStatement() {},
         listLoads: () => [],
         gatewayCount: 1,
         close() {},
--- a/test/unit/gateway/scheduler.test.ts
+++ b/test/unit/gateway/scheduler.test.ts
@@ -62,6 +62,7 @@
     getUnreadTokens: () => 0,
     applyReport() {},
     recordLoad() {},
+    recordRateStatement() {},
     listLoads: () => [],
     gatewayCount: 1,
     close() {},
--- a/test/unit/platform/dialect.test.ts
+++ b/test/unit/platform/dialect.test.ts
@@ -21,6 +21,20 @@
     assert.deepEqual(head?.sharedParts, ['5c1e07a2', '91bd3f06']);
   });
 
+  it('reads how many requests a second an endpoint takes, and ignores what is no number', () => {
+    const read = (value: string) => {
+      const rawHeaders = ['Server-Limit', value].map((text) => Buffer.from(text));
+      return platformDialect.parseResponse(200, rawHeaders).maxRequestRate;
+    };
+    assert.deepEqual(['9.3', '0', '', 'many', '-1'].map(read), [
+      9.3,
+      0,
+      undefined,
+      undefined,
+      undefined,
+    ]);
+  });
+
   it('names no shared parts of a prompt that is all its own, or of a request without one', () => {
     assert.deepEqual(parse({ 'turmericrack-prefix-hash': 'e4402b7d:250' })?.sharedParts, []);
     assert.deepEqual(parse({})?.sharedParts, []);
