Keep to the request rate that an endpoint states, over all gateways together

Cause: gateways send by free slots and ignored what endpoints state; even one that had followed it alone would have exceeded it as often as there are gateways.

Change: each endpoint has a token bucket at every gateway, filled at the whole stated rate, less what the gateway sends and the others report. Reports carry the newest statement with its age, the number of requests sent and whether the gateway wants more; so one that has restarted knows limit and use within a report. Since reports are late, a gateway takes only its share of the tokens that it sees, as with free slots; gateways without demand leave theirs. The share of gateways that have become silent is not used by the others. Endpoints that state no rate cost nothing.

--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -200,7 +200,7 @@
     const { endpoint } = attempt;
     endpoint.lastActivityAt = clock.now();
     if (head.load !== undefined) endpoints.recordLoad(endpoint, head.load);
-    endpoints.recordRateStatement(endpoint, head.maxRequestRate, attempt.sentAt);
+    endpoint.rateLimit.recordResponse(head.maxRequestRate, attempt.sentAt);
     attempt.head = head;
     if (head.isNotRun) {
       failAttempt(attempt, { kind: 'notRun', status });
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -4,11 +4,22 @@
  */
 
 import type { Logger } from '../common/logging.js';
-import type { Announcement, EndpointLoad, GatewayReport } from '../generated/control.js';
+import type {
+  Announcement,
+  EndpointLoad,
+  GatewayReport,
+  RateStatement as RateStatementMessage,
+} from '../generated/control.js';
 import type { EndpointRegistry } from '../registry/registry.js';
 import { createEndpointClient, type EndpointClient } from './endpointClient.js';
 import { createEndpointHealth, type EndpointHealth } from './endpointHealth.js';
 import { createEndpointSpeed, type EndpointSpeed } from './endpointSpeed.js';
+import {
+  createRequestRateLimit,
+  type GatewayCounts,
+  type RateStatement,
+  type RequestRateLimit,
+} from './requestRateLimit.js';
 import { createSlotLimiter, type SlotLimiter } from './slotLimiter.js';
 import type { ReportedLoad } from './types.js';
 
@@ -16,19 +27,13 @@
 const REPORT_RETENTION_MS = 1_500;
 /** Age after which the load that an endpoint itself reported is ignored. */
 const LOAD_RETENTION_MS = 400;
+/** Age after which a gateway without reports counts as removed. */
+const PEER_EXPIRY_MS = 30_000;
 /** Silence after which an endpoint with running requests receives no new ones. */
 const SILENCE_MS = 700;
 /** Time for which activity seen here overrides an ejection reported by another gateway. */
 const RECENT_MS = 300;
 
-/** What an endpoint last stated of the requests that it takes. */
-export interface RateStatement {
-  /** From all gateways together; undefined without a limit. */
-  perSecond: number | undefined;
-  /** Monotonic time of its response, in milliseconds. */
-  at: number;
-}
-
 /** One incarnation of an endpoint. */
 export interface Endpoint {
   readonly announcement: Announcement;
@@ -36,6 +41,7 @@
   readonly health: EndpointHealth;
   readonly speed: EndpointSpeed;
   readonly slotLimiter: SlotLimiter;
+  readonly rateLimit: RequestRateLimit;
   /** Requests of this gateway that run there. */
   running: number;
   /** Prompt tokens of this gateway's requests there whose responses have not started. */
@@ -44,8 +50,6 @@
   lastActivityAt: number;
   /** Load that the endpoint reported with its latest response. */
   selfReported: (ReportedLoad & { at: number; ownRunning: number }) | undefined;
-  /** Undefined if it has never limited its requests. */
-  rateStatement: RateStatement | undefined;
 }
 
 /** Dependencies of the tracker. */
@@ -68,12 +72,9 @@
   getUnreadTokens(endpoint: Endpoint): number;
   applyReport(report: GatewayReport): void;
   recordLoad(endpoint: Endpoint, load: ReportedLoad): void;
-  /** Records what a response to a request that was sent at `sentAt` states of the request rate. */
-  recordRateStatement(endpoint: Endpoint, perSecond: number | undefined, sentAt: number): void;
   /** Loads and ejections of endpoints, for this gateway's own report. */
   listLoads(): EndpointLoad[];
-  /** Number of gateways with recent reports, including this one. */
-  readonly gatewayCount: number;
+  readonly gatewayCounts: GatewayCounts;
   close(): void;
 }
 
@@ -94,9 +95,8 @@
     getUnreadTokens,
     applyReport,
     recordLoad,
-    recordRateStatement,
     listLoads,
-    get gatewayCount() {
+    get gatewayCounts() {
       return countGateways();
     },
     close,
@@ -126,11 +126,16 @@
       health: createEndpointHealth(),
       speed: createEndpointSpeed(),
       slotLimiter: createSlotLimiter(host.now, host.random),
+      rateLimit: createRequestRateLimit({
+        now: host.now,
+        random: host.random,
+        onChange: (perSecond, before, source) =>
+          logRateChange(announcement.endpointId, perSecond, before, source),
+      }),
       running: 0,
       unreadTokens: 0,
       lastActivityAt: host.now(),
       selfReported: undefined,
-      rateStatement: undefined,
     };
   }
 
@@ -177,23 +182,41 @@
     return Math.max(0, selfReported.running + selfReported.waiting - selfReported.ownRunning);
   }
 
-  function countGateways(): number {
-    const oldest = host.now() - REPORT_RETENTION_MS;
-    let count = 1;
-    for (const { at } of peers.values()) {
-      if (at >= oldest) count += 1;
+  function countGateways(): GatewayCounts {
+    const now = host.now();
+    const counts = { responsive: 1, known: 1 };
+    for (const [id, { at }] of peers) {
+      if (now - at > PEER_EXPIRY_MS) {
+        peers.delete(id);
+        continue;
+      }
+      counts.known += 1;
+      if (now - at <= REPORT_RETENTION_MS) counts.responsive += 1;
     }
-    return count;
+    return counts;
   }
 
   function applyReport(report: GatewayReport): void {
-    for (const { endpointId, isOut } of report.loads) {
-      if (isOut) applyRemoteEjection(endpointId);
+    for (const load of report.loads) {
+      if (load.isOut) applyRemoteEjection(load.endpointId);
+      applyRate(report, load);
     }
     const loads = new Map(report.loads.map((load) => [load.endpointId, load]));
     peers.set(report.gatewayId, { loads, at: host.now() });
   }
 
+  function applyRate(
+    { gatewayId, incarnation }: GatewayReport,
+    { endpointId, sent, isWanted, rateStatement }: EndpointLoad,
+  ): void {
+    const statement =
+      rateStatement === undefined
+        ? undefined
+        : { perSecond: rateStatement.perSecond, at: host.now() - rateStatement.ageMs };
+    const endpoint = endpoints.get(endpointId);
+    endpoint?.rateLimit.applyPeer({ gatewayId, incarnation, sent, isWanted, statement });
+  }
+
   /** Ignores the ejection if this gateway itself has recently heard from the endpoint. */
   function applyRemoteEjection(endpointId: string): void {
     const endpoint = endpoints.get(endpointId);
@@ -205,41 +228,35 @@
     endpoint.selfReported = { ...load, at: host.now(), ownRunning: endpoint.running };
   }
 
-  function recordRateStatement(
-    endpoint: Endpoint,
-    perSecond: number | undefined,
-    sentAt: number,
-  ): void {
-    const known = endpoint.rateStatement;
-    if (perSecond === undefined && known === undefined) return;
-    // A response to a request from before the last statement may have been begun before it, too.
-    if (perSecond === undefined && known !== undefined && sentAt < known.at) return;
-    endpoint.rateStatement = { perSecond, at: host.now() };
-    logRateChange(endpoint.announcement.endpointId, perSecond, known?.perSecond);
-  }
-
   function logRateChange(
     endpoint: string,
     perSecond: number | undefined,
-    before: number | undefined,
+    before = 0,
+    source = 'response',
   ): void {
-    if (perSecond === before) return;
     if (perSecond === undefined) {
-      host.logger.event('requestRateUnlimited', { endpoint, before: before ?? 0 });
+      host.logger.event('requestRateUnlimited', { endpoint, before, source });
     } else {
-      host.logger.event('requestRateLimited', { endpoint, perSecond, before: before ?? 0 });
+      host.logger.event('requestRateLimited', { endpoint, perSecond, before, source });
     }
   }
 
   function listLoads(): EndpointLoad[] {
     const loads: EndpointLoad[] = [];
-    for (const [endpointId, { running, unreadTokens, health }] of endpoints) {
+    for (const [endpointId, { running, unreadTokens, health, rateLimit }] of endpoints) {
       const { isEjected: isOut } = health;
-      if (running > 0 || isOut) loads.push({ endpointId, running, isOut, unreadTokens });
+      const { sent, isWanted, statement } = rateLimit;
+      const rateStatement = statement === undefined ? undefined : toRateStatement(statement);
+      if (running === 0 && !isOut && rateStatement === undefined) continue;
+      loads.push({ endpointId, running, isOut, unreadTokens, sent, isWanted, rateStatement });
     }
     return loads;
   }
 
+  function toRateStatement({ perSecond, at }: RateStatement): RateStatementMessage {
+    return { perSecond, ageMs: Math.round(host.now() - at) };
+  }
+
   function close(): void {
     for (const endpoint of endpoints.values()) endpoint.client.close();
     endpoints.clear();
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -217,12 +217,15 @@
   function tryChoose(request: PlacementRequest): Endpoint | undefined {
     const candidates: Candidate<Endpoint>[] = [];
     const isEngine = host.isEngine(request.pool);
-    const { gatewayCount: gateways } = endpoints;
+    const gateways = endpoints.gatewayCounts;
     for (const endpoint of endpoints.listUsable(request.pool, request.isRetryable)) {
       if (request.excluded.has(endpoint.announcement.endpointId)) continue;
       const occupancy = endpoints.getOccupancy(endpoint);
       const slots = endpoint.announcement.slots + (isEngine ? 0 : SERVICE_QUEUE);
-      if (isEngine && !endpoint.slotLimiter.canPlace(slots - occupancy, slots, gateways)) continue;
+      const { slotLimiter, rateLimit } = endpoint;
+      const free = slots - occupancy;
+      if (isEngine && !slotLimiter.canPlace(free, slots, gateways.responsive)) continue;
+      if (!rateLimit.canPlace(gateways)) continue;
       candidates.push({
         endpoint,
         occupancy,
@@ -242,6 +245,7 @@
     if (endpoint.running === 0) endpoint.lastActivityAt = host.now();
     endpoint.running += 1;
     endpoint.slotLimiter.recordPlacement();
+    endpoint.rateLimit.recordPlacement();
     // Deferred because the callback may release the slot, which would re-enter the placement loop.
     queueMicrotask(() => request.onPlaced(endpoint));
     return true;
--- a/test/unit/gateway/scheduler.test.ts
+++ b/test/unit/gateway/scheduler.test.ts
@@ -62,9 +62,8 @@
     getUnreadTokens: () => 0,
     applyReport() {},
     recordLoad() {},
-    recordRateStatement() {},
     listLoads: () => [],
-    gatewayCount: 1,
+    gatewayCounts: { responsive: 1, known: 1 },
     close() {},
   };
 }
