Tell streams that end inside an event, or before any, from complete ones on all routes

Callers would have seen a stream passed off as complete that its engine had broken off: answers may have neither a length nor chunks and end with their connection, so the normal end of a connection alone does not show that a stream is whole.

Cause: only streams that may be resumed were split into events; on other routes the end of the connection counted as the end of the stream, wherever it came. A stream without a single event counted as whole on all routes.

Change: all streams are split into events, which also keeps the beginning of an event from callers; one that ends within an event or before the first one is a broken response.

Tests: two of four new tests in callHandler.test.ts failed before: 'does not pass a stream off as complete whose connection ends inside an event' and '... before any event'.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -17,8 +17,6 @@
   readonly lastByteAt: number | undefined;
   /** Records bytes of the response; returns the time since the previous ones, in milliseconds. */
   recordBytes(): number;
-  /** Number of chunks of a stream so far. */
-  readonly chunkCount: number;
   /** Records a chunk of a stream. */
   recordChunk(): void;
   /** Records that the response is complete. */
@@ -57,9 +55,6 @@
     get lastByteAt() {
       return lastByteAt;
     },
-    get chunkCount() {
-      return chunks;
-    },
     recordBytes,
     recordChunk,
     recordEnd() {
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -82,7 +82,7 @@
   const { clock, logger, scheduler, endpoints, retryBudget, dialect } = host;
   const { route, head: requestHead } = call;
   const isStream = route.kind === 'stream';
-  const splitter = isStream && route.isResumable ? createEventSplitter() : undefined;
+  const splitter = isStream ? createEventSplitter() : undefined;
   const excluded = new Set<string>();
   let isOver = false;
   let current: Attempt | undefined;
@@ -219,8 +219,7 @@
     const { head } = attempt;
     pauseMs = Math.max(pauseMs, attempt.recordBytes());
     if (head === undefined) return true;
-    const isSuccess = head.status >= 200 && head.status < 300;
-    if (isStream && isSuccess) return forward(attempt, head, chunk);
+    if (isStream && isSuccess(head)) return forward(attempt, head, chunk);
     attempt.buffer(chunk);
     if (attempt.bufferedBytes <= MAX_BUFFERED_BYTES) return true;
     if (!writer.hasStarted) startResponse(head);
@@ -229,14 +228,13 @@
 
   function forward(attempt: Attempt, head: ResponseHead, chunk: Buffer): boolean {
     attempt.recordChunk();
-    const bytes = splitter === undefined ? chunk : splitter.push(chunk);
+    const bytes = splitter?.push(chunk);
     if (splitter?.isTooLong) {
       failAttempt(attempt, { kind: 'unknown', reason: 'event without end' });
       return true;
     }
     if (bytes === undefined) return true;
-    // The first chunk may be the beginning of an event that an endpoint did not survive.
-    if (splitter !== undefined || attempt.chunkCount > 1) recordBegun();
+    recordBegun();
     if (!writer.hasStarted) startResponse(head);
     lastForwardedAt = clock.now();
     return writer.write(bytes);
@@ -263,6 +261,15 @@
       failAttempt(attempt, { kind: 'unknown', reason: 'stream ended within an event' });
       return;
     }
+    if (
+      isStream &&
+      isSuccess(head) &&
+      !writer.hasStarted &&
+      requestHead.resumeAfter === undefined
+    ) {
+      failAttempt(attempt, { kind: 'unknown', reason: 'stream ended before its first event' });
+      return;
+    }
     const isFailure = head.status >= 500;
     if (isFailure && tryRetry(attempt, head)) return;
     if (isFailure) attempt.endpoint.health.recordErrorResponse(clock.now());
@@ -437,3 +444,7 @@
     });
   }
 }
+
+function isSuccess({ status }: ResponseHead): boolean {
+  return status >= 200 && status < 300;
+}
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -37,7 +37,7 @@
 function startHandler(
   kind: RouteKind,
   maxAttempts: number,
-  { canPlace = true, waitMs = WAIT_MS, head = responseHead } = {},
+  { canPlace = true, waitMs = WAIT_MS, head = responseHead, isResumable = kind === 'stream' } = {},
 ) {
   const clock = new VirtualClock(ARRIVED_AT);
   const submitted: (Pick<PlacementRequest, 'arrivedAt' | 'maxQueueMs' | 'wasInterrupted'> & {
@@ -47,6 +47,8 @@
   const forwarded: Buffer[] = [];
   const summaries: CallSummary[] = [];
   const exchanges: ResponseHandler[] = [];
+  const ends: ('complete' | 'cut')[] = [];
+  let hasStarted = false;
   let aborted = 0;
   let placement: PlacementRequest | undefined;
   let watched: WatchedAttempt | undefined;
@@ -102,18 +104,26 @@
       },
       onEnd: (summary) => summaries.push(summary),
     },
-    createTestCall({}, createTestRoute({ kind, maxAttempts, timeoutMs: waitMs }), ARRIVED_AT),
+    createTestCall(
+      {},
+      createTestRoute({ kind, maxAttempts, timeoutMs: waitMs, isResumable }),
+      ARRIVED_AT,
+    ),
     {
-      hasStarted: false,
-      start() {},
+      get hasStarted() {
+        return hasStarted;
+      },
+      start() {
+        hasStarted = true;
+      },
       write(bytes) {
         forwarded.push(bytes);
         return true;
       },
-      end() {},
+      end: () => void ends.push('complete'),
       writeComplete: ({ status }) => statuses.push(status),
       writeLocalReply: (reply) => statuses.push(reply.status),
-      destroy() {},
+      destroy: () => void ends.push('cut'),
     },
   );
 
@@ -128,6 +138,7 @@
     summaries,
     forwarded,
     exchanges,
+    ends,
     cancel: handler.cancel,
     getAborted: () => aborted,
     place() {
@@ -213,6 +224,49 @@
     assert.equal(started.getAborted(), 1);
   });
 
+  /** Plays a response without a length that ends with its connection. */
+  function streamUntilClosed(exchange: ResponseHandler | undefined, text: string): void {
+    exchange?.onHead(200, []);
+    exchange?.onData(Buffer.from(text));
+    exchange?.onEnd();
+  }
+
+  it('completes a stream whose connection ends after an event', () => {
+    started = startHandler('stream', 1, { isResumable: false });
+    started.place();
+    streamUntilClosed(started.exchanges[0], 'id: 1\ndata: a\n\n');
+    assert.deepEqual(started.ends, ['complete']);
+  });
+
+  it('does not pass a stream off as complete whose connection ends inside an event', () => {
+    started = startHandler('stream', 1, { isResumable: false });
+    started.place();
+    streamUntilClosed(started.exchanges[0], 'id: 1\ndata: a\n\nid: 2\nda');
+    assert.deepEqual(started.ends, ['cut']);
+    assert.equal(Buffer.concat(started.forwarded).toString(), 'id: 1\ndata: a\n\n');
+    assert.equal(started.summaries[0]?.outcome, 'failed');
+  });
+
+  it('resumes a stream elsewhere whose connection ends inside an event', () => {
+    started = startHandler('stream', 2);
+    started.place();
+    streamUntilClosed(started.exchanges[0], 'id: 1\ndata: a\n\nid: 2\nda');
+    assert.deepEqual(started.ends, []);
+    started.place();
+    streamUntilClosed(started.exchanges[1], 'id: 2\ndata: b\n\n');
+    assert.deepEqual(started.ends, ['complete']);
+    const forwarded = Buffer.concat(started.forwarded).toString();
+    assert.equal(forwarded, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
+  });
+
+  it('does not pass off a stream as complete that ends with its connection before any event', () => {
+    started = startHandler('stream', 1, { isResumable: false });
+    started.place();
+    started.exchanges[0]?.onHead(200, []);
+    started.exchanges[0]?.onEnd();
+    assert.deepEqual(started.statuses, [502]);
+  });
+
   it("passes on nothing of a late second copy of another request's response", () => {
     const head = { ...responseHead, callId: 'call-0' };
     started = startHandler('nonIdempotent', 1, { head });
