Move the progress of a call and its queue time out of the call handler

What has happened to a call and its summary, and how long it may wait for an endpoint, are modules of their own now; behaviour is the same.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -11,7 +11,7 @@
 import { createCrashRecords } from '../crashes/crashRecords.js';
 import { createFeedClient } from '../feed/feedClient.js';
 import type { GatewayReport } from '../generated/control.js';
-import type { CallSummary } from '../gateway/callHandler.js';
+import type { CallSummary } from '../gateway/callProgress.js';
 import { startCallServer } from '../gateway/callServer.js';
 import { createCrashDetector } from '../gateway/crashDetector.js';
 import { createCrashSuspects } from '../gateway/crashSuspects.js';
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -6,10 +6,12 @@
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logging.js';
 import { createAttempt, type Attempt } from './attempt.js';
+import { createCallProgress, type CallSummary } from './callProgress.js';
 import type { CrashDetector } from './crashDetector.js';
 import { suspectReply, type CrashSuspects } from './crashSuspects.js';
 import type { Endpoint, EndpointTracker } from './endpointTracker.js';
 import { createEventSplitter } from './eventSplitter.js';
+import { getMaxQueueMs, getSlackMs } from './queueTime.js';
 import type { LocalReply, ResponseWriter } from './responseWriter.js';
 import type { RetryBudget } from './retryBudget.js';
 import {
@@ -25,12 +27,6 @@
 
 /** Larger responses are forwarded as they arrive and not retried once they have started. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
-/** Share of the caller's wait time that a request may spend in the queue. */
-const QUEUE_SHARE = 0.35;
-/** Upper bound of the queue time of streams, whose callers give up after a few seconds of silence. */
-const MAX_STREAM_QUEUE_MS = 2_000;
-/** Share of the objective that a request may spend in the queue and still count as on time. */
-const OBJECTIVE_QUEUE_SHARE = 0.6;
 
 /** Dependencies of a handler. */
 export interface CallHandlerHost {
@@ -47,24 +43,6 @@
   onEnd(summary: CallSummary): void;
 }
 
-/** Result and timing of a call. */
-export interface CallSummary {
-  call: Call;
-  outcome: 'answered' | 'refused' | 'failed' | 'timedOut' | 'cancelled';
-  status: number;
-  reason: string;
-  endpoint: string;
-  attemptCount: number;
-  /** Time from arrival to the first placement, in milliseconds. */
-  placedMs: number;
-  /** Time from arrival to the first byte of the response, in milliseconds. */
-  firstMs: number;
-  /** Time from arrival to the end, in milliseconds. */
-  totalMs: number;
-  /** Longest time between two chunks of the response, in milliseconds. */
-  pauseMs: number;
-}
-
 /** A call in progress. */
 export interface CallHandler {
   /** Called when the caller has closed its connection. */
@@ -84,19 +62,11 @@
   const isStream = route.kind === 'stream';
   const splitter = isStream ? createEventSplitter() : undefined;
   const excluded = new Set<string>();
+  const progress = createCallProgress(call, clock);
   let isOver = false;
   let current: Attempt | undefined;
-  let lastEndpoint = '';
-  let attemptCount = 0;
-  /** Attempts in which the request may have run. */
-  let runCount = 0;
-  let placedMs = 0;
-  let firstMs = 0;
-  let pauseMs = 0;
   /** Whether the response has begun at any endpoint. */
   let hasBegun = requestHead.resumeAfter !== undefined;
-  /** When data was last forwarded to the caller; the time of arrival if none was yet. */
-  let lastForwardedAt = call.arrivedAt;
   const placement: PlacementRequest = {
     pool: call.pool,
     route: route.name,
@@ -106,8 +76,8 @@
     promptTokens: requestHead.tokens?.prompt ?? 0,
     objectiveMs: route.objectiveMs,
     arrivedAt: call.arrivedAt,
-    slackMs: route.objectiveMs * OBJECTIVE_QUEUE_SHARE - call.waitedMs,
-    maxQueueMs: getMaxQueueMs(call.arrivedAt),
+    slackMs: getSlackMs(call, call.arrivedAt),
+    maxQueueMs: getMaxQueueMs(call, progress, call.arrivedAt),
     isRetryable: isRetryable(route),
     wasInterrupted: false,
     excluded,
@@ -124,14 +94,6 @@
     resume: () => current?.exchange?.resume(),
   };
 
-  /** Returns the remaining time for which the request may be queued, over all attempts together. */
-  function getMaxQueueMs(now: number): number {
-    if (runCount > 0) return call.deadline - now;
-    const shareMs = (call.deadline - lastForwardedAt) * QUEUE_SHARE;
-    const limitMs = isStream ? Math.min(shareMs, MAX_STREAM_QUEUE_MS) : shareMs;
-    return limitMs - (now - lastForwardedAt);
-  }
-
   function send(endpoint: Endpoint): void {
     if (isOver) {
       releaseSlot(endpoint);
@@ -142,19 +104,17 @@
       refuseSuspect();
       return;
     }
-    const now = clock.now();
-    if (attemptCount === 0) placedMs = now - call.arrivedAt;
-    attemptCount += 1;
-    lastEndpoint = endpoint.announcement.endpointId;
-    excluded.add(lastEndpoint);
+    const { endpointId } = endpoint.announcement;
+    progress.recordAttempt(endpointId);
+    excluded.add(endpointId);
     const resumeAfter = splitter?.lastEventId;
     const started = createAttempt(endpoint, placement.promptTokens, endpoints, () => clock.now());
     current = started;
     watch(started);
     const headers = dialect.toEndpointHeaders(requestHead, {
-      endpointId: lastEndpoint,
+      endpointId,
       team: call.team?.name,
-      remainingMs: Math.max(1, Math.floor(call.deadline - now)),
+      remainingMs: Math.max(1, Math.floor(call.deadline - clock.now())),
       resumeAfter: resumeAfter ?? requestHead.resumeAfter,
     });
     const { method, target } = requestHead;
@@ -191,7 +151,7 @@
       return;
     }
     const failure: AttemptFailure = { kind: 'unknown', reason };
-    const step = decide(failure, runCount + 1);
+    const step = decide(failure, progress.runCount + 1);
     if (step.kind === 'sendAgain') failAttempt(attempt, failure, step);
   }
 
@@ -217,7 +177,7 @@
 
   function handleData(attempt: Attempt, chunk: Buffer): boolean {
     const { head } = attempt;
-    pauseMs = Math.max(pauseMs, attempt.recordBytes());
+    progress.recordPause(attempt.recordBytes());
     if (head === undefined) return true;
     if (isStream && isSuccess(head)) return forward(attempt, head, chunk);
     attempt.buffer(chunk);
@@ -236,7 +196,7 @@
     if (bytes === undefined) return true;
     recordBegun();
     if (!writer.hasStarted) startResponse(head);
-    lastForwardedAt = clock.now();
+    progress.recordForwarded();
     return writer.write(bytes);
   }
 
@@ -247,7 +207,7 @@
   }
 
   function startResponse(head: ResponseHead): void {
-    firstMs = clock.now() - call.arrivedAt;
+    progress.recordStart();
     writer.start(head);
   }
 
@@ -281,14 +241,14 @@
       abandon(attempt, 'failed', 0, `resuming the stream failed with status ${head.status}`);
       return;
     }
-    runCount += 1;
+    progress.runCount += 1;
     endAttempt(attempt);
     const rest = attempt.takeBuffered();
     if (writer.hasStarted) {
       if (rest.length > 0) writer.write(rest);
       writer.end();
     } else {
-      firstMs = clock.now() - call.arrivedAt;
+      progress.recordStart();
       writer.writeComplete(head, rest);
     }
     finish('answered', head.status, '');
@@ -297,7 +257,7 @@
   /** Retries after an endpoint's own error response; returns false if that is not allowed. */
   function tryRetry(attempt: Attempt, head: ResponseHead): boolean {
     const failure: AttemptFailure = { kind: 'failed', status: head.status };
-    const step = decide(failure, runCount + 1);
+    const step = decide(failure, progress.runCount + 1);
     if (step.kind !== 'sendAgain') return false;
     failAttempt(attempt, failure, step);
     return true;
@@ -317,15 +277,15 @@
     attempt.exchange?.abort();
     endAttempt(attempt);
     splitter?.dropPartialEvent();
-    if (failure.kind === 'unknown' || failure.kind === 'failed') runCount += 1;
-    const step = decided ?? decide(failure, runCount);
+    if (failure.kind === 'unknown' || failure.kind === 'failed') progress.runCount += 1;
+    const step = decided ?? decide(failure, progress.runCount);
     const { endpointId } = attempt.endpoint.announcement;
     logger.event('sendFailed', {
       request: requestHead.id,
       endpoint: endpointId,
       failure: describeAttemptFailure(failure),
       next: step.kind,
-      sends: attemptCount,
+      sends: progress.attemptCount,
     });
     if (step.kind === 'sendAgain') sendAgain();
     else if (step.kind === 'refuse') refuse('noEndpoint', 0);
@@ -336,6 +296,7 @@
   function decide(failure: AttemptFailure, runs: number): NextStep {
     const remainingMs = call.deadline - clock.now();
     const { hasStarted } = writer;
+    const { attemptCount } = progress;
     const facts = { failure, route, runCount: runs, attemptCount, remainingMs, hasStarted };
     const step = decideNextStep(facts);
     if (step.kind !== 'sendAgain' || !step.needsBudget) return step;
@@ -345,10 +306,9 @@
 
   function sendAgain(): void {
     const now = clock.now();
-    placement.wasInterrupted = runCount > 0;
-    placement.maxQueueMs = getMaxQueueMs(now);
-    placement.slackMs =
-      route.objectiveMs * OBJECTIVE_QUEUE_SHARE - call.waitedMs - (now - call.arrivedAt);
+    placement.wasInterrupted = progress.runCount > 0;
+    placement.maxQueueMs = getMaxQueueMs(call, progress, now);
+    placement.slackMs = getSlackMs(call, now);
     scheduler.submit(placement);
   }
 
@@ -360,7 +320,7 @@
   }
 
   function refuse(reason: RefusalReason, retryAfterMs: number): void {
-    if (runCount > 0) {
+    if (progress.runCount > 0) {
       endInFailure(reason);
       return;
     }
@@ -375,7 +335,7 @@
   }
 
   function refuseSuspect(): void {
-    if (runCount > 0) {
+    if (progress.runCount > 0) {
       endInFailure(suspectReply.reason);
       return;
     }
@@ -429,19 +389,7 @@
       current.exchange?.abort();
       endAttempt(current);
     }
-    const totalMs = clock.now() - call.arrivedAt;
-    host.onEnd({
-      call,
-      outcome,
-      status,
-      reason,
-      endpoint: lastEndpoint,
-      attemptCount,
-      placedMs,
-      firstMs,
-      totalMs,
-      pauseMs,
-    });
+    host.onEnd(progress.summarize(outcome, status, reason));
   }
 }
 
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -4,11 +4,8 @@
 import { afterEach, describe, it } from 'node:test';
 import { VirtualClock } from '../../../src/common/clock.js';
 import { delay } from '../../../src/common/delay.js';
-import {
-  startCallHandler,
-  type CallHandler,
-  type CallSummary,
-} from '../../../src/gateway/callHandler.js';
+import { startCallHandler, type CallHandler } from '../../../src/gateway/callHandler.js';
+import type { CallSummary } from '../../../src/gateway/callProgress.js';
 import type { ResponseHandler } from '../../../src/gateway/endpointClient.js';
 import type { Endpoint } from '../../../src/gateway/endpointTracker.js';
 import type { PlacementRequest } from '../../../src/gateway/scheduler.js';
