Keep small stated rates over many gateways, and let endpoints without limits cost nothing

Each gateway drew for a token anew before it could hear who had taken it.

While no crash record of a whole content is held, no digest of requests is computed.

--- a/src/gateway/crashSuspects.ts
+++ b/src/gateway/crashSuspects.ts
@@ -66,13 +66,20 @@
   const begunParts = new Map<string, number>();
   let responsible = new Set<string>();
   let evaluatedVersion = records.version;
+  /** Digests are computed only while there is a record of a whole content. */
+  let hasContentRecords = false;
 
   return { isSuspect, recordBegun, recordCrash, receive };
 
   function isSuspect(content: RequestContent): boolean {
     evaluate();
     if (responsible.size === 0) return false;
-    return listTraits(content).some(({ trait }) => responsible.has(trait));
+    return listRecordedTraits(content).some(({ trait }) => responsible.has(trait));
+  }
+
+  /** Lists the traits of which there may be records. */
+  function listRecordedTraits(content: RequestContent): Trait[] {
+    return hasContentRecords ? listTraits(content) : listPartTraits(content);
   }
 
   function recordBegun(content: RequestContent): void {
@@ -86,7 +93,8 @@
       if (begunParts.size <= MAX_BEGUN_PARTS) break;
       begunParts.delete(trait);
     }
-    if (records.size > 0) listTraits(content).forEach(clear);
+    evaluate();
+    if (records.size > 0) listRecordedTraits(content).forEach(clear);
   }
 
   function recordCrash(endpoint: Announcement, interrupted: readonly InterruptedCall[]): void {
@@ -124,7 +132,9 @@
   function evaluate(): void {
     if (records.version === evaluatedVersion) return;
     const before = responsible;
-    responsible = findResponsibleTraits(records.listChangedSince(0));
+    const known = records.listChangedSince(0);
+    responsible = findResponsibleTraits(known);
+    hasContentRecords = known.some(({ specificity }) => specificity === CONTENT_SPECIFICITY);
     evaluatedVersion = records.version;
     for (const trait of responsible) {
       if (before.has(trait)) continue;
@@ -138,12 +148,12 @@
 }
 
 function listTraits(content: RequestContent): Trait[] {
-  const traits: Trait[] = content.head.sharedParts.map((part, position) => ({
-    trait: getPartTrait(part),
-    specificity: position,
-  }));
   const trait = `content ${getContentDigest(content)}`;
-  return [...traits, { trait, specificity: CONTENT_SPECIFICITY }];
+  return [...listPartTraits(content), { trait, specificity: CONTENT_SPECIFICITY }];
+}
+
+function listPartTraits({ head }: RequestContent): Trait[] {
+  return head.sharedParts.map((part, specificity) => ({ trait: getPartTrait(part), specificity }));
 }
 
 function getPartTrait(part: string): string {
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -4,12 +4,7 @@
  */
 
 import type { Logger } from '../common/logging.js';
-import type {
-  Announcement,
-  EndpointLoad,
-  GatewayReport,
-  RateStatement as RateStatementMessage,
-} from '../generated/control.js';
+import type { Announcement, EndpointLoad, GatewayReport } from '../generated/control.js';
 import type { EndpointRegistry } from '../registry/registry.js';
 import { createEndpointClient, type EndpointClient } from './endpointClient.js';
 import { createEndpointHealth, type EndpointHealth } from './endpointHealth.js';
@@ -17,7 +12,6 @@
 import {
   createRequestRateLimit,
   type GatewayCounts,
-  type RateStatement,
   type RequestRateLimit,
 } from './requestRateLimit.js';
 import { createSlotLimiter, type SlotLimiter } from './slotLimiter.js';
@@ -207,12 +201,11 @@
 
   function applyRate(
     { gatewayId, incarnation }: GatewayReport,
-    { endpointId, sent, isWanted, rateStatement }: EndpointLoad,
+    { endpointId, rateStatement }: EndpointLoad,
   ): void {
-    const statement =
-      rateStatement === undefined
-        ? undefined
-        : { perSecond: rateStatement.perSecond, at: host.now() - rateStatement.ageMs };
+    if (rateStatement === undefined) return;
+    const { perSecond, ageMs, sent, isWanted } = rateStatement;
+    const statement = { perSecond, at: host.now() - ageMs };
     const endpoint = endpoints.get(endpointId);
     endpoint?.rateLimit.applyPeer({ gatewayId, incarnation, sent, isWanted, statement });
   }
@@ -245,16 +238,17 @@
     const loads: EndpointLoad[] = [];
     for (const [endpointId, { running, unreadTokens, health, rateLimit }] of endpoints) {
       const { isEjected: isOut } = health;
-      const { sent, isWanted, statement } = rateLimit;
-      const rateStatement = statement === undefined ? undefined : toRateStatement(statement);
+      const rateStatement = toRateStatement(rateLimit);
       if (running === 0 && !isOut && rateStatement === undefined) continue;
-      loads.push({ endpointId, running, isOut, unreadTokens, sent, isWanted, rateStatement });
+      loads.push({ endpointId, running, isOut, unreadTokens, rateStatement });
     }
     return loads;
   }
 
-  function toRateStatement({ perSecond, at }: RateStatement): RateStatementMessage {
-    return { perSecond, ageMs: Math.round(host.now() - at) };
+  function toRateStatement({ statement, sent, isWanted }: RequestRateLimit) {
+    if (statement === undefined) return undefined;
+    const ageMs = Math.round(host.now() - statement.at);
+    return { perSecond: statement.perSecond, ageMs, sent, isWanted };
   }
 
   function close(): void {
--- a/src/gateway/requestRateLimit.ts
+++ b/src/gateway/requestRateLimit.ts
@@ -5,13 +5,17 @@
  * takes only its share of the tokens that it sees.
  */
 
-import { createSlotLimiter } from './slotLimiter.js';
+import { createSlotLimiter, type ShareTiming } from './slotLimiter.js';
 
 /** Rate below which an endpoint could not be asked whether it still limits its requests. */
 const MIN_PER_SECOND = 0.25;
-/** Capacity of the bucket, in seconds of the rate; what is saved up arrives as a burst. */
-const CAPACITY_S = 0.5;
-const MIN_CAPACITY = 2;
+/** Capacity of the bucket beyond one token, in seconds of the rate; what is saved up is a burst. */
+const CAPACITY_S = 0.75;
+/**
+ * Draws no more often than reports arrive, since a token that one gateway has taken looks free to
+ * all others until then.
+ */
+const tokenTiming: ShareTiming = { propagationMs: 350, drawIntervalMs: 350 };
 /**
  * Largest debt, in seconds of the rate and in requests: before all gateways know of a limit they
  * send more than the endpoint could make up for soon.
@@ -35,9 +39,9 @@
 export interface PeerRate {
   gatewayId: string;
   incarnation: string;
-  /** Requests sent since that gateway learned of the endpoint. */
+  /** Requests that gateway has sent to the endpoint. */
   sent: number;
-  statement: RateStatement | undefined;
+  statement: RateStatement;
   /** Whether that gateway has had requests for the endpoint lately. */
   isWanted: boolean;
 }
@@ -84,7 +88,7 @@
 /** Creates the state of an endpoint that does not limit its requests. */
 export function createRequestRateLimit(host: RequestRateLimitHost): RequestRateLimit {
   const { now } = host;
-  const shares = createSlotLimiter(now, host.random);
+  const shares = createSlotLimiter(now, host.random, tokenTiming);
   const peers = new Map<string, PeerState>();
   let statement: RateStatement | undefined;
   let sent = 0;
@@ -133,12 +137,8 @@
     const { gatewayId, incarnation, sent: sentByPeer, statement: told } = peer;
     const known = peers.get(gatewayId);
     if (known?.incarnation === incarnation) level -= sentByPeer - known.sent;
-    // A gateway that does not know of the limit yet does not know its demand either.
-    const isIdle = told !== undefined && !peer.isWanted;
-    peers.set(gatewayId, { incarnation, sent: sentByPeer, isIdle, at: now() });
-    if (told !== undefined && told.at > (statement?.at ?? Number.NEGATIVE_INFINITY)) {
-      replace(told, gatewayId);
-    }
+    peers.set(gatewayId, { incarnation, sent: sentByPeer, isIdle: !peer.isWanted, at: now() });
+    if (told.at > (statement?.at ?? Number.NEGATIVE_INFINITY)) replace(told, gatewayId);
   }
 
   function replace(next: RateStatement, source?: string): void {
@@ -148,6 +148,8 @@
     if (before === undefined) {
       level = 0;
       refilledAt = now();
+      // What was sent between two limits uses up neither.
+      peers.clear();
     }
     host.onChange(next.perSecond, before, source);
   }
@@ -171,7 +173,7 @@
   function refill(perSecond: number, { responsive, known }: GatewayCounts): void {
     const elapsedMs = now() - refilledAt;
     refilledAt = now();
-    const capacity = Math.max(MIN_CAPACITY, CAPACITY_S * perSecond);
+    const capacity = 1 + CAPACITY_S * perSecond;
     const added = (perSecond * (responsive / known) * elapsedMs) / 1_000;
     const maxDebt = Math.max(MIN_MAX_DEBT, MAX_DEBT_S * perSecond);
     level = Math.min(capacity, Math.max(level, -maxDebt) + added);
--- a/src/gateway/slotLimiter.ts
+++ b/src/gateway/slotLimiter.ts
@@ -9,10 +9,15 @@
  * available to it again immediately.
  */
 
-/** Time until other gateways have learned of a placement. */
-const PROPAGATION_MS = 250;
-/** Interval at which a gateway draws again for a slot of the remainder. */
-const DRAW_INTERVAL_MS = 150;
+/** Delays with which a gateway takes its share. */
+export interface ShareTiming {
+  /** Time until other gateways have learned of a placement, in milliseconds. */
+  propagationMs: number;
+  /** Interval at which a gateway draws again for a slot of the remainder, in milliseconds. */
+  drawIntervalMs: number;
+}
+
+const slotTiming: ShareTiming = { propagationMs: 250, drawIntervalMs: 150 };
 /** Ratio of gateways to slots up to which one slot for each gateway overfills an engine only slightly. */
 const FEW_GATEWAYS_RATIO = 0.4;
 
@@ -25,7 +30,11 @@
 }
 
 /** Creates a limiter; `random` returns numbers from 0 to 1. */
-export function createSlotLimiter(now: () => number, random: () => number): SlotLimiter {
+export function createSlotLimiter(
+  now: () => number,
+  random: () => number,
+  { propagationMs, drawIntervalMs }: ShareTiming = slotTiming,
+): SlotLimiter {
   /** Recent placements and releases. */
   const changes: { at: number; change: 1 | -1 }[] = [];
   let drawn = 0;
@@ -54,7 +63,7 @@
   }
 
   function dropOld(): void {
-    const oldest = now() - PROPAGATION_MS;
+    const oldest = now() - propagationMs;
     while (changes[0] !== undefined && changes[0].at < oldest) changes.shift();
   }
 
@@ -64,7 +73,7 @@
   }
 
   function draw(): number {
-    if (now() - drawnAt >= DRAW_INTERVAL_MS) {
+    if (now() - drawnAt >= drawIntervalMs) {
       drawn = random();
       drawnAt = now();
     }
--- a/test/unit/gateway/requestRateLimit.test.ts
+++ b/test/unit/gateway/requestRateLimit.test.ts
@@ -6,6 +6,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
   createRequestRateLimit,
+  type PeerRate,
   type RequestRateLimit,
 } from '../../../src/gateway/requestRateLimit.js';
 
@@ -18,17 +19,13 @@
 /** Time until what was sent before all gateways knew of the limit is made up for. */
 const SETTLED_MS = 15_000;
 const WINDOW_MS = 4_000;
-const DURATION_MS = 40_000;
-const RESTART_AT_MS = 20_000;
+const DURATION_MS = 80_000;
+const RESTART_AT_MS = 40_000;
 
 interface Report {
   arrivesAt: number;
   from: number;
-  incarnation: string;
-  sent: number;
-  isWanted: boolean;
-  perSecond: number | undefined;
-  statedAt: number | undefined;
+  peer: PeerRate;
 }
 
 interface Scenario {
@@ -74,19 +71,17 @@
 
   function report({ incarnation, limit }: (typeof members)[number], from: number): void {
     const { sent, isWanted, statement } = limit;
-    const { perSecond: stated, at: statedAt } = statement ?? {};
-    const arrivesAt = time + REPORT_LAG_MS;
-    reports.push({ arrivesAt, from, incarnation, sent, isWanted, perSecond: stated, statedAt });
+    if (statement === undefined) return;
+    const gatewayId = `gateway-${from}`;
+    const peer = { gatewayId, incarnation, sent, isWanted, statement };
+    reports.push({ arrivesAt: time + REPORT_LAG_MS, from, peer });
   }
 
   function deliver(): void {
     while (reports[0] !== undefined && reports[0].arrivesAt <= time) {
-      const { from, incarnation, sent, isWanted, perSecond: stated, statedAt } = reports.shift()!;
-      const statement = statedAt === undefined ? undefined : { perSecond: stated, at: statedAt };
+      const { from, peer } = reports.shift()!;
       for (const [index, { limit }] of members.entries()) {
-        if (index !== from) {
-          limit.applyPeer({ gatewayId: `gateway-${from}`, incarnation, sent, isWanted, statement });
-        }
+        if (index !== from) limit.applyPeer(peer);
       }
     }
   }
@@ -147,6 +142,7 @@
     left.recordResponse(undefined, 5);
     assert.equal(left.canPlace(counts), true);
     const { statement } = left;
+    assert.ok(statement !== undefined);
     right.applyPeer({ gatewayId: 'left', incarnation: 'x', sent: 0, isWanted: true, statement });
     assert.equal(right.canPlace(counts), true);
   });
