Do not refuse a popular content because all endpoints crashed at once

Cause: that a trait had been served lately counted for parts of prompts only.

Change: contents that were served in the last 15 s are remembered as well, at most 2,048.

Test: 'do not include a content that was served until all endpoints crashed at once' failed before.

--- a/src/gateway/crashSuspects.ts
+++ b/src/gateway/crashSuspects.ts
@@ -10,14 +10,18 @@
 import { findResponsibleTraits } from '../crashes/responsibility.js';
 import type { Announcement, CrashRecord } from '../generated/control.js';
 import type { InterruptedCall } from './crashDetector.js';
+import { createRecentTraits } from './recentTraits.js';
 import type { LocalReply } from './responseWriter.js';
 import type { Call } from './types.js';
 
-/** Time for which a response that has begun shows that the parts of its prompt are harmless. */
+/** Time for which a response that has begun shows that the traits of its request are harmless. */
 const BEGUN_RETENTION_MS = 15_000;
 const MAX_BEGUN_PARTS = 8_192;
+/** Only contents that are requested again and again matter, which are few. */
+const MAX_BEGUN_CONTENTS = 2_048;
 /** Specificity of the whole content of a request; parts of prompts have their position. */
 const CONTENT_SPECIFICITY = 1_000_000;
+const CONTENT_PREFIX = 'content ';
 const SUSPECT_RETRY_AFTER_MS = 60 * 60 * 1_000;
 
 /** Reply to a request that is not sent to any endpoint. */
@@ -62,39 +66,28 @@
 
 export function createCrashSuspects(host: CrashSuspectsHost): CrashSuspects {
   const { now, logger, records } = host;
-  /** When responses last began, by part of the prompt; the least recent first. */
-  const begunParts = new Map<string, number>();
+  const begunParts = createRecentTraits(now, BEGUN_RETENTION_MS, MAX_BEGUN_PARTS);
+  const begunContents = createRecentTraits(now, BEGUN_RETENTION_MS, MAX_BEGUN_CONTENTS);
   let responsible = new Set<string>();
   let evaluatedVersion = records.version;
-  /** Digests are computed only while there is a record of a whole content. */
-  let hasContentRecords = false;
+  let isContentResponsible = false;
 
   return { isSuspect, recordBegun, recordCrash, receive };
 
   function isSuspect(content: RequestContent): boolean {
     evaluate();
     if (responsible.size === 0) return false;
-    return listRecordedTraits(content).some(({ trait }) => responsible.has(trait));
-  }
-
-  /** Lists the traits of which there may be records. */
-  function listRecordedTraits(content: RequestContent): Trait[] {
-    return hasContentRecords ? listTraits(content) : listPartTraits(content);
+    const traits = isContentResponsible ? listTraits(content) : listPartTraits(content);
+    return traits.some(({ trait }) => responsible.has(trait));
   }
 
   function recordBegun(content: RequestContent): void {
-    const time = now();
-    for (const part of content.head.sharedParts) {
-      const trait = getPartTrait(part);
-      begunParts.delete(trait);
-      begunParts.set(trait, time);
-    }
-    for (const [trait] of begunParts) {
-      if (begunParts.size <= MAX_BEGUN_PARTS) break;
-      begunParts.delete(trait);
+    const traits = listTraits(content);
+    for (const { trait, specificity } of traits) {
+      if (specificity === CONTENT_SPECIFICITY) begunContents.record(trait);
+      else begunParts.record(trait);
     }
-    evaluate();
-    if (records.size > 0) listRecordedTraits(content).forEach(clear);
+    if (records.size > 0) traits.forEach(clear);
   }
 
   function recordCrash(endpoint: Announcement, interrupted: readonly InterruptedCall[]): void {
@@ -117,8 +110,7 @@
   }
 
   function hasBegunRecently(trait: string): boolean {
-    const begunAt = begunParts.get(trait);
-    return begunAt !== undefined && now() - begunAt <= BEGUN_RETENTION_MS;
+    return begunParts.has(trait) || begunContents.has(trait);
   }
 
   /** Marks the record of a trait, if there is one, as no evidence. */
@@ -132,9 +124,8 @@
   function evaluate(): void {
     if (records.version === evaluatedVersion) return;
     const before = responsible;
-    const known = records.listChangedSince(0);
-    responsible = findResponsibleTraits(known);
-    hasContentRecords = known.some(({ specificity }) => specificity === CONTENT_SPECIFICITY);
+    responsible = findResponsibleTraits(records.listChangedSince(0));
+    isContentResponsible = [...responsible].some(isContent);
     evaluatedVersion = records.version;
     for (const trait of responsible) {
       if (before.has(trait)) continue;
@@ -148,10 +139,14 @@
 }
 
 function listTraits(content: RequestContent): Trait[] {
-  const trait = `content ${getContentDigest(content)}`;
+  const trait = `${CONTENT_PREFIX}${getContentDigest(content)}`;
   return [...listPartTraits(content), { trait, specificity: CONTENT_SPECIFICITY }];
 }
 
+function isContent(trait: string): boolean {
+  return trait.startsWith(CONTENT_PREFIX);
+}
+
 function listPartTraits({ head }: RequestContent): Trait[] {
   return head.sharedParts.map((part, specificity) => ({ trait: getPartTrait(part), specificity }));
 }
--- a/test/unit/gateway/crashSuspects.test.ts
+++ b/test/unit/gateway/crashSuspects.test.ts
@@ -69,6 +69,14 @@
     assert.equal(gateway.suspects.isSuspect(createCall()), false);
   });
 
+  it('do not include a content that was served until all endpoints crashed at once', () => {
+    const gateway = createGateway({ time: 0 });
+    const popular = createCall();
+    gateway.suspects.recordBegun(popular);
+    for (const endpoint of ['a', 'b', 'c']) crash(gateway, endpoint, popular);
+    assert.equal(gateway.suspects.isSuspect(popular), false);
+  });
+
   it('are found from the crashes that different gateways have seen, each counted once', () => {
     const clock = { time: 0 };
     const gateways = [createGateway(clock), createGateway(clock)] as const;
