Keep quotas and stated rates while the keeper that sends the reports falls silent

The trace: all four gateways got the reports of the others from one keeper, which lost power at 22.9 s; until it counted as silent a second later, each admitted a team's whole rate, 150,000 tokens in a quarter of a second instead of 44,000. A stated request rate would be exceeded in the same way.

Cause: updates of other keepers went on, so the gateways held themselves for connected; the use of the others was carried on from the last interval of 100 ms, in which it may have been nothing.

Change: a gateway asks another keeper for the reports once the one it has asked is silent for 0.3 s, and leaves the share of gateways without reports to them after 0.4 s instead of 1 s.

--- a/src/feed/feedClient.ts
+++ b/src/feed/feedClient.ts
@@ -18,6 +18,7 @@
   type GatewayReport,
 } from '../generated/control.js';
 import type { TableDocument } from '../generated/keeper.js';
+import { chooseReportSource } from './reportSource.js';
 
 /** Time without updates after which a stream counts as dead; several push intervals of a keeper. */
 const IDLE_TIMEOUT_MS = 1_000;
@@ -80,6 +81,7 @@
   const { clock, logger } = host;
   const links = new Map<string, KeeperLink>();
   let lastUpdateAt = clock.now();
+  let reportSource: KeeperLink | undefined;
   const timer = setInterval(maintainLinks, host.intervalMs);
   maintainLinks();
 
@@ -94,7 +96,7 @@
     reconcileLinks();
     const now = clock.now();
     const report = host.tryGetReport();
-    const [reportSource] = listConnected();
+    reportSource = chooseReportSource(listConnected(), reportSource, now);
     for (const link of links.values()) {
       if (link.stream !== undefined && now - link.activeAt > IDLE_TIMEOUT_MS) drop(link, 'silent');
       if (link.stream === undefined && now >= link.reconnectAt) openStream(link);
--- a/src/gateway/quotas.ts
+++ b/src/gateway/quotas.ts
@@ -10,7 +10,7 @@
 import type { Quota, Team } from '../routing/types.js';
 
 /** Age of the last report after which a gateway counts as silent. */
-const SILENCE_MS = 1_000;
+const SILENCE_MS = 400;
 /** Initial fill of a new bucket, in seconds of the quota's rate. */
 const INITIAL_FILL_S = 0.25;
 /** Time between the admission of a request and the arrival of its report at another gateway. */
--- a/test/unit/gateway/quotas.test.ts
+++ b/test/unit/gateway/quotas.test.ts
@@ -32,6 +32,8 @@
   seed: number;
   /** Whether gateways receive each other's reports at `time`, in milliseconds. */
   isConnected(time: number): boolean;
+  /** Whether the keeper that sends the reports is silent at `time`; others still send updates. */
+  isReportSourceSilent?(time: number): boolean;
   /** When the first gateway is replaced by a new process, in milliseconds. */
   restartAt?: number;
 }
@@ -49,6 +51,7 @@
   seconds,
   seed,
   isConnected,
+  isReportSourceSilent = () => false,
   restartAt,
 }: Scenario): Outcome {
   let time = 0;
@@ -71,7 +74,8 @@
     }
     steps.push(admitted);
     if (time === restartAt) gateways[0] = createGateway();
-    if (time % REPORT_MS === 0 && isConnected(time)) reports.push(...createReports(gateways, time));
+    const areReportsSent = isConnected(time) && !isReportSourceSilent(time);
+    if (time % REPORT_MS === 0 && areReportsSent) reports.push(...createReports(gateways, time));
     time += STEP_MS;
     while ((reports[0]?.at ?? Number.POSITIVE_INFINITY) <= time) reports.shift()?.deliver();
   }
@@ -98,7 +102,6 @@
       incarnation: 'a',
       loads: [],
       uses: quotas.listUses(),
-
       waiting: 0,
     };
     const others = gateways.filter((other) => other !== quotas);
@@ -149,6 +152,22 @@
     }
   });
 
+  it('hold while the keeper that sends the reports to all of them falls silent', () => {
+    for (const gateways of [4, 11]) {
+      for (let seed = 1; seed <= 8; seed += 1) {
+        const outcome = simulate({
+          gateways,
+          demand: 6,
+          seconds: 30,
+          seed,
+          isConnected: () => true,
+          isReportSourceSilent: (time) => time > 14_000 && time < 15_100,
+        });
+        assert.ok(outcome.mostInWindow <= allowed, `seed ${seed}: ${outcome.mostInWindow}`);
+      }
+    }
+  });
+
   it('hold when a gateway is restarted', () => {
     for (let seed = 1; seed <= 8; seed += 1) {
       const isConnected = (): boolean => true;
