--- a/src/crashes/crashRecords.ts
+++ b/src/crashes/crashRecords.ts
@@ -11,7 +11,7 @@
 /** Crashes from which on a trait may be held responsible. */
 export const RESPONSIBLE_CRASHES = 3;
 /** How long a record is kept that may hold a trait responsible, after its last change. */
-const RESPONSIBLE_RETENTION_MS = 60 * 60 * 1_000;
+export const RESPONSIBLE_RETENTION_MS = 60 * 60 * 1_000;
 /** How long any other record is kept after its last change. */
 const SUSPECT_RETENTION_MS = 60_000;
 /** How long a cleared record is kept, which prevents late evidence from counting. */
--- a/src/gateway/crashSuspects.ts
+++ b/src/gateway/crashSuspects.ts
@@ -6,7 +6,7 @@
 
 import { createHash } from 'node:crypto';
 import type { Logger } from '../common/logging.js';
-import type { CrashRecords } from '../crashes/crashRecords.js';
+import { RESPONSIBLE_RETENTION_MS, type CrashRecords } from '../crashes/crashRecords.js';
 import { findResponsibleTraits } from '../crashes/responsibility.js';
 import type { Announcement, CrashRecord } from '../generated/control.js';
 import type { InterruptedCall } from './crashDetector.js';
@@ -22,13 +22,12 @@
 /** Specificity of the whole content of a request; parts of prompts have their position. */
 const CONTENT_SPECIFICITY = 1_000_000;
 const CONTENT_PREFIX = 'content ';
-const SUSPECT_RETRY_AFTER_MS = 60 * 60 * 1_000;
 
 /** Reply to a request that is not sent to any endpoint. */
 export const suspectReply: LocalReply = {
   status: 503,
   reason: 'requests like this one crash endpoints',
-  retryAfterMs: SUSPECT_RETRY_AFTER_MS,
+  retryAfterMs: RESPONSIBLE_RETENTION_MS,
 };
 
 /** The content of a request, as far as its traits depend on it. */
@@ -58,7 +57,7 @@
 }
 
 /** Returns a digest of the content of a request: target, team and body. */
-export function getContentDigest({ head, team, body }: RequestContent): string {
+function getContentDigest({ head, team, body }: RequestContent): string {
   const hash = createHash('sha256').update(`${head.target}\n${team?.name ?? ''}\n`);
   if (body !== undefined) hash.update(body);
   return hash.digest('base64url').slice(0, 22);
