--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -191,6 +191,8 @@
     const { route, pool } = call;
     logger.event('callEnded', {
       request: call.head.id,
+      resumes: call.head.resumedCallId ?? '',
+      resumeAfter: call.head.resumeAfter ?? '',
       route: route.name,
       team: call.team?.name ?? '',
       tokens: (call.head.tokens?.prompt ?? 0) + (call.head.tokens?.output ?? 0),
@@ -201,6 +203,7 @@
       status,
       reason,
       endpoint,
+      softwareVersion: summary.softwareVersion,
       sends: sendCount,
       waiting: scheduler.waitingCount,
       placedMs: Math.round(summary.placedMs),
--- a/src/feed/feedServer.ts
+++ b/src/feed/feedServer.ts
@@ -139,10 +139,11 @@
   function announce(announcement: Announcement): void {
     if (!registry.merge(announcement)) return;
     const merged = registry.tryGet(announcement.endpointId) ?? announcement;
-    const { endpointId, pool, address, state, bornAtMs, sequence } = merged;
+    const { endpointId, pool, softwareVersion, address, state, bornAtMs, sequence } = merged;
     logger.event('endpointAnnounced', {
       endpoint: endpointId,
       pool,
+      softwareVersion,
       address,
       state,
       bornAtMs,
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -105,7 +105,7 @@
       return;
     }
     const { endpointId } = endpoint.announcement;
-    progress.recordAttempt(endpointId);
+    progress.recordAttempt(endpoint.announcement);
     excluded.add(endpointId);
     const resumeAfter = splitter?.lastEventId;
     const started = createAttempt(endpoint, placement.promptTokens, endpoints, () => clock.now());
@@ -274,10 +274,11 @@
     splitter?.dropPartialEvent();
     if (failure.kind === 'unknown' || failure.kind === 'failed') progress.runCount += 1;
     const step = decided ?? decide(failure, progress.runCount);
-    const { endpointId } = attempt.endpoint.announcement;
+    const { endpointId, softwareVersion } = attempt.endpoint.announcement;
     logger.event('sendFailed', {
       request: requestHead.id,
       endpoint: endpointId,
+      softwareVersion,
       failure: describeAttemptFailure(failure),
       next: step.kind,
       sends: progress.attemptCount,
--- a/src/gateway/callProgress.ts
+++ b/src/gateway/callProgress.ts
@@ -1,6 +1,7 @@
 /** What has happened to one call so far, and the summary of it when the call has ended. */
 
 import type { Clock } from '../common/clock.js';
+import type { Announcement } from '../generated/control.js';
 import type { Call } from './types.js';
 
 /** Result and timing of a call. */
@@ -9,7 +10,9 @@
   outcome: 'answered' | 'refused' | 'failed' | 'timedOut' | 'cancelled';
   status: number;
   reason: string;
+  /** Id and software version of the endpoint of the last attempt; empty if there was none. */
   endpoint: string;
+  softwareVersion: string;
   attemptCount: number;
   /** Time from arrival to the first placement, in milliseconds. */
   placedMs: number;
@@ -29,7 +32,7 @@
   runCount: number;
   /** When data was last forwarded to the caller; the time of arrival if none was yet. */
   readonly lastForwardedAt: number;
-  recordAttempt(endpointId: string): void;
+  recordAttempt(endpoint: Announcement): void;
   /** Records that the response to the caller starts. */
   recordStart(): void;
   recordForwarded(): void;
@@ -41,6 +44,7 @@
 /** Creates the progress of a call that has just been admitted. */
 export function createCallProgress(call: Call, clock: Clock): CallProgress {
   let endpoint = '';
+  let softwareVersion = '';
   let attemptCount = 0;
   let placedMs = 0;
   let firstMs = 0;
@@ -55,10 +59,11 @@
     get lastForwardedAt() {
       return lastForwardedAt;
     },
-    recordAttempt(endpointId) {
+    recordAttempt(announcement) {
       if (attemptCount === 0) placedMs = getElapsedMs();
       attemptCount += 1;
-      endpoint = endpointId;
+      endpoint = announcement.endpointId;
+      softwareVersion = announcement.softwareVersion;
     },
     recordStart() {
       firstMs = getElapsedMs();
@@ -75,6 +80,7 @@
       status,
       reason,
       endpoint,
+      softwareVersion,
       attemptCount,
       placedMs,
       firstMs,
--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -190,6 +190,7 @@
     host.onRefused(reply.status);
     logger.event('callRefused', {
       request: head?.id ?? '',
+      resumes: head?.resumedCallId ?? '',
       host: head?.host ?? '',
       path: head?.path ?? request.url ?? '',
       team: findTeam(head),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -31,6 +31,8 @@
   sharedParts: readonly string[];
   /** Id of the last event of this stream that the caller has received. */
   resumeAfter: string | undefined;
+  /** Id of the caller's request that brought the first event of the stream that this one resumes. */
+  resumedCallId: string | undefined;
   /** Alternating names and values, as forwarded to the endpoint. */
   headers: string[];
 }
--- a/test/unit/registry/registry.test.ts
+++ b/test/unit/registry/registry.test.ts
@@ -18,6 +18,7 @@
     failureDomain: 'x',
     slots: 10,
     warmingForMs: 0,
+    softwareVersion: 'v1',
     ...changes,
   };
 }
