--- /dev/null
+++ b/test/faults/streamVersions.test.ts
@@ -0,0 +1,151 @@
+/** Two software versions serve one pool; streams break off and are resumed. */
+
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import { delay, waitFor } from '../fixtures/deployment.js';
+import {
+  createGatewayDeployment,
+  createTableBody,
+  type GatewayDeployment,
+  type TableBody,
+} from '../fixtures/gatewayDeployment.js';
+import { createCallerStream, type CallerStream } from '../fixtures/streamCaller.js';
+
+const EVENT_COUNT = 40;
+const EVENT_INTERVAL_MS = 50;
+const STREAM_COUNT = 16;
+/** Time after which more than its gateway must know where a stream has begun. */
+const SHARING_LIMIT_MS = 600;
+/** Events that a stream has to get in one try to have gone on. */
+const MIN_FURTHER_EVENTS = 3;
+const TIMEOUT_MS = 20_000;
+
+let lastStreamNumber = 0;
+
+function createStreamTableBody(): TableBody {
+  const table = createTableBody(1);
+  const stream = {
+    name: 'route-stream',
+    host: 'a.example',
+    pathPrefix: '/stream/',
+    kind: 'streaming',
+    timeoutMs: TIMEOUT_MS,
+    sloMs: 500,
+    priority: 1,
+    service: 'engines',
+    attempts: 3,
+    public: true,
+    resumable: true,
+  };
+  const engines = { name: 'engines', healthPath: '/healthz', maxConns: 200, protocol: 'h1' };
+  return {
+    ...table,
+    routes: [...(table.routes as object[]), stream],
+    services: [...(table.services as object[]), { ...engines, tls: false }],
+  };
+}
+
+describe('streams over two software versions', () => {
+  let deployment: GatewayDeployment;
+
+  before(async () => {
+    const stream = { eventCount: EVENT_COUNT, intervalMs: EVENT_INTERVAL_MS };
+    const engines = ['v1', 'v2'].flatMap((softwareVersion) =>
+      ['a', 'b'].map((name) => ({
+        id: `${softwareVersion}-${name}`,
+        pool: 'engines',
+        slots: STREAM_COUNT,
+        workMs: 10,
+        softwareVersion,
+        stream,
+      })),
+    );
+    const desk = { id: 'desk', pool: 'desk', slots: 8, workMs: 10 };
+    deployment = await createGatewayDeployment([...engines, desk]);
+    assert.equal(await deployment.declare(createStreamTableBody()), 200);
+    await deployment.waitServing();
+  });
+
+  after(() => deployment.stop());
+
+  function openStreams(gateway: number): { streams: CallerStream[]; ended: Promise<unknown> } {
+    const streams = Array.from({ length: STREAM_COUNT }, () => {
+      lastStreamNumber += 1;
+      return createCallerStream(`s${lastStreamNumber}`, `/stream/${lastStreamNumber}`);
+    });
+    const address = deployment.getGatewayAddress(gateway);
+    return { streams, ended: Promise.all(streams.map((stream) => stream.open(address))) };
+  }
+
+  async function beginStreams(gateway: number) {
+    const opened = openStreams(gateway);
+    await waitFor('all streams to begin', () =>
+      opened.streams.every(({ events }) => events.length > 0),
+    );
+    const versions = new Set(opened.streams.map(({ events }) => events[0]));
+    assert.equal(versions.size, 2, 'both versions serve');
+    await delay(SHARING_LIMIT_MS);
+    return opened;
+  }
+
+  /** Takes all streams up and checks that none holds two versions and most go on. */
+  async function takeUp(streams: readonly CallerStream[], gateway: number): Promise<void> {
+    const counts = streams.map(({ events }) => events.length);
+    const address = deployment.getGatewayAddress(gateway);
+    await Promise.all(streams.map((stream) => stream.open(address)));
+    checkVersions(streams);
+    const further = streams.map(({ events }, index) => events.length - (counts[index] ?? 0));
+    const wentOn = further.filter((count) => count >= MIN_FURTHER_EVENTS).length;
+    assert.ok(wentOn > STREAM_COUNT / 2, `${wentOn} streams went on`);
+  }
+
+  function checkVersions(streams: readonly CallerStream[]): void {
+    const joined = streams.filter(({ events }) => new Set(events).size > 1);
+    assert.equal(joined.length, 0, 'streams joined from two versions');
+  }
+
+  async function restart(ids: readonly string[]): Promise<void> {
+    await Promise.all(ids.map((id) => deployment.getProcess(id).kill()));
+    for (const id of ids) deployment.restart(id);
+  }
+
+  it('are resumed within a response by endpoints of their version only', async () => {
+    const { streams, ended } = await beginStreams(0);
+    for (const endpoint of deployment.endpoints) {
+      if (endpoint.id.endsWith('-a')) endpoint.closeConnections();
+    }
+    await ended;
+    checkVersions(streams);
+    assert.ok(streams.every(({ lastEventId }) => lastEventId === EVENT_COUNT));
+  });
+
+  it('are taken up at another gateway by endpoints of their version only', async () => {
+    const { streams, ended } = await beginStreams(0);
+    await restart(['gateway-0']);
+    await ended;
+    await takeUp(streams, 1);
+    await deployment.waitServing();
+  });
+
+  it('are taken up after a kill of all gateways by endpoints of their version only', async () => {
+    const { streams, ended } = await beginStreams(0);
+    await restart(deployment.gatewayIds);
+    await ended;
+    await deployment.waitServing();
+    await takeUp(streams, 1);
+  });
+
+  it('are taken up after a kill of all processes by endpoints of their version only', async () => {
+    const { streams, ended } = await beginStreams(0);
+    await restart([...deployment.gatewayIds, ...deployment.keeperIds]);
+    await ended;
+    await deployment.waitServing();
+    await takeUp(streams, 1);
+  });
+
+  it('are refused as not run if nobody knows the version that began them', async () => {
+    const headers = { Resumes: 'unknown/1', 'Last-Event-Id': '3' };
+    const answer = await deployment.call(0, '/stream/unknown', 'unknown/2', headers);
+    assert.equal(answer.status, 503);
+  });
+});
