Resume a stream only at the software version that began it

A placement request now names the version that has begun the stream. Restricted requests do not hold up others in the queue, and one whose version no ready endpoint has any more is refused at once instead of waiting.

--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -81,6 +81,7 @@
     isRetryable: isRetryable(route),
     wasInterrupted: false,
     excluded,
+    softwareVersion: undefined,
     onPlaced: send,
     onRefused: refuse,
   };
@@ -195,7 +196,7 @@
     }
     if (bytes === undefined) return true;
     if (splitter?.hasCompleteEvent) recordBegun();
-    if (!writer.hasStarted) startResponse(head);
+    if (!writer.hasStarted) startStream(attempt, head);
     progress.recordForwarded();
     return writer.write(bytes);
   }
@@ -206,6 +207,11 @@
     host.crashSuspects.recordBegun(call);
   }
 
+  function startStream({ endpoint }: Attempt, head: ResponseHead): void {
+    placement.softwareVersion = endpoint.announcement.softwareVersion;
+    startResponse(head);
+  }
+
   function startResponse(head: ResponseHead): void {
     progress.recordStart();
     writer.start(head);
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -60,6 +60,8 @@
   syncWithRegistry(): void;
   /** Endpoints of a pool that may receive a request that is retryable or not. */
   listUsable(pool: string, isRetryable: boolean): Endpoint[];
+  /** Whether an endpoint of this software version takes requests, in good health or not. */
+  hasReady(pool: string, softwareVersion: string): boolean;
   /** Estimated number of requests of all gateways that run at an endpoint. */
   getOccupancy(endpoint: Endpoint): number;
   /** Estimated prompt tokens of all gateways that an endpoint has not processed yet. */
@@ -85,6 +87,7 @@
   return {
     syncWithRegistry,
     listUsable,
+    hasReady,
     getOccupancy,
     getUnreadTokens,
     applyReport,
@@ -145,6 +148,15 @@
     return usable;
   }
 
+  function hasReady(pool: string, softwareVersion: string): boolean {
+    for (const [id, { announcement }] of endpoints) {
+      if (announcement.pool !== pool) continue;
+      if (announcement.softwareVersion !== softwareVersion) continue;
+      if (host.registry.isUsable(id)) return true;
+    }
+    return false;
+  }
+
   function getOccupancy(endpoint: Endpoint): number {
     const { endpointId } = endpoint.announcement;
     const oldest = host.now() - REPORT_RETENTION_MS;
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -54,11 +54,13 @@
   wasInterrupted: boolean;
   /** Ids of endpoints where it must not be placed. */
   excluded: ReadonlySet<string>;
+  /** The only software version that may continue the stream; undefined if it has not begun. */
+  softwareVersion: string | undefined;
   onPlaced(endpoint: Endpoint): void;
   onRefused(reason: RefusalReason, retryAfterMs: number): void;
 }
 
-export type RefusalReason = 'overload' | 'noEndpoint';
+export type RefusalReason = 'overload' | 'noEndpoint' | 'versionGone';
 
 /** Dependencies of the scheduler. */
 export interface SchedulerHost {
@@ -122,6 +124,10 @@
   function submit(request: PlacementRequest): void {
     const state = getPool(request.pool);
     const now = host.now();
+    if (!hasMatchingVersion(request)) {
+      request.onRefused('versionGone', MAX_RETRY_AFTER_MS);
+      return;
+    }
     if (!request.wasInterrupted) state.fairness.recordRequest(request.route);
     const isLate = request.slackMs <= 0;
     const { arrivedAt } = request;
@@ -141,6 +147,11 @@
     state.queue.push(entry);
   }
 
+  /** Whether any endpoint could still serve the request, now or later. */
+  function hasMatchingVersion({ pool, softwareVersion }: PlacementRequest): boolean {
+    return softwareVersion === undefined || endpoints.hasReady(pool, softwareVersion);
+  }
+
   function rankOf(request: PlacementRequest, isLate: boolean): number {
     const { teamRank, routeRank, wasInterrupted, relativeWork } = request;
     const isShort = relativeWork < SHORT_WORK;
@@ -166,6 +177,11 @@
   /** Refuses a request whose wait time has expired, and lowers the rank of one that became late. */
   function updateEntry(state: PoolState, entry: QueuedRequest, now: number): void {
     const { request } = entry;
+    if (!hasMatchingVersion(request)) {
+      withdraw(request);
+      request.onRefused('versionGone', MAX_RETRY_AFTER_MS);
+      return;
+    }
     if (entry.expiresAt <= now) {
       withdraw(request);
       request.onRefused('overload', getRetryAfterMs(state, estimateWaitMs(state, entry)));
@@ -180,15 +196,20 @@
 
   function placeWaiting(pool: string): void {
     const state = getPool(pool);
-    for (const entry of listInPlacementOrder(state)) {
-      if (!queued.has(entry.request)) continue;
-      if (tryPlace(state, entry.request)) {
-        withdraw(entry.request);
+    /** Software versions without a free slot. */
+    const full = new Set<string>();
+    for (const { request } of listInPlacementOrder(state)) {
+      if (!queued.has(request)) continue;
+      const { softwareVersion } = request;
+      if (softwareVersion !== undefined && full.has(softwareVersion)) continue;
+      if (tryPlace(state, request)) {
+        withdraw(request);
         continue;
       }
-      // The endpoints that a request excludes may still have free slots for others, so the loop
-      // stops only at a request without exclusions.
-      if (entry.request.excluded.size === 0) return;
+      // Endpoints that a restricted request may not use may still have free slots for others.
+      if (request.excluded.size > 0) continue;
+      if (softwareVersion === undefined) return;
+      full.add(softwareVersion);
     }
   }
 
@@ -219,7 +240,7 @@
     const isEngine = host.isEngine(request.pool);
     const gateways = endpoints.gatewayCounts;
     for (const endpoint of endpoints.listUsable(request.pool, request.isRetryable)) {
-      if (request.excluded.has(endpoint.announcement.endpointId)) continue;
+      if (!isAllowed(request, endpoint)) continue;
       const occupancy = endpoints.getOccupancy(endpoint);
       const slots = endpoint.announcement.slots + (isEngine ? 0 : SERVICE_QUEUE);
       const { slotLimiter, rateLimit } = endpoint;
@@ -315,3 +336,9 @@
     return created;
   }
 }
+
+function isAllowed({ excluded, softwareVersion }: PlacementRequest, endpoint: Endpoint): boolean {
+  const { announcement } = endpoint;
+  if (excluded.has(announcement.endpointId)) return false;
+  return softwareVersion === undefined || softwareVersion === announcement.softwareVersion;
+}
--- a/test/unit/gateway/scheduler.test.ts
+++ b/test/unit/gateway/scheduler.test.ts
@@ -58,6 +58,7 @@
   return {
     syncWithRegistry() {},
     listUsable: () => endpoints,
+    hasReady: () => true,
     getOccupancy: (endpoint) => endpoint.running,
     getUnreadTokens: () => 0,
     applyReport() {},
@@ -143,6 +144,7 @@
       isRetryable: true,
       wasInterrupted: false,
       excluded: new Set(),
+      softwareVersion: undefined,
       onPlaced(endpoint) {
         const slowness = engines[endpoints.indexOf(endpoint)] ?? 1;
         ends.push({ at: time + requestClass.serviceMs * slowness, endpoint });
@@ -337,6 +339,7 @@
       isRetryable: true,
       wasInterrupted: false,
       excluded: new Set(),
+      softwareVersion: undefined,
       onPlaced() {},
       onRefused(_reason, retryAfterMs) {
         longestMs = Math.max(longestMs, retryAfterMs);
