Keep where streams began at the keepers, so that take-ups never join two versions

The gateway that began the stream was the only one to know the version, and a request that takes a stream up was placed like a new one.

Each gateway reports where its resumable streams begin with the messages that it sends to all keepers anyway, every 100 ms. A gateway asks all connected keepers about a stream that it does not know, those that arrive together in one call; the first answer counts. The call goes on in the pool and at the version where the stream began; if nobody knows them, it is refused as not run. Keepers append the origins to a file, for a loss of all processes at once. Nothing waits for this but take-ups: new streams begin as before.

Gateways could also have inferred the version where they see one only. One that has just started sees what serves now, not what served before, so they do not.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -16,6 +16,7 @@
 import { createCrashDetector } from '../gateway/crashDetector.js';
 import { createCrashSuspects } from '../gateway/crashSuspects.js';
 import { createEndpointTracker } from '../gateway/endpointTracker.js';
+import { createOriginLookup } from '../gateway/originLookup.js';
 import { createQuotas } from '../gateway/quotas.js';
 import { createRetryBudget } from '../gateway/retryBudget.js';
 import { createScheduler } from '../gateway/scheduler.js';
@@ -24,6 +25,7 @@
 import type { Dialect } from '../gateway/types.js';
 import type { CallerLimits, RoutingTable } from '../routing/types.js';
 import { createEndpointRegistry } from '../registry/registry.js';
+import { createStreamOrigins } from '../streams/streamOrigins.js';
 import type { RunningProcess } from './types.js';
 
 const REPORT_INTERVAL_MS = 100;
@@ -79,6 +81,7 @@
   const stallDetector = createStallDetector(now);
   const crashRecords = createCrashRecords(now);
   const crashSuspects = createCrashSuspects({ now, logger, records: crashRecords });
+  const streamOrigins = createStreamOrigins(now);
   const crashDetector = createCrashDetector({
     logger,
     onCrash: ({ announcement }, interrupted) =>
@@ -105,6 +108,7 @@
     listAnnouncements: () => registry.list(),
     crashRecords,
     onCrashRecords: crashSuspects.receive,
+    streamOrigins,
     onTable: tableView.receive,
     onAnnouncements(announcements) {
       for (const announcement of announcements) registry.merge(announcement);
@@ -128,6 +132,10 @@
     table: tableView,
     tryGetLimits: () => limits,
     quotas,
+    originLookup: createOriginLookup({
+      origins: streamOrigins,
+      askKeepers: (callIds, onOrigins) => feed.findStreamOrigins(callIds, onOrigins),
+    }),
     handlerHost: {
       clock,
       logger,
@@ -138,6 +146,7 @@
       stallDetector,
       crashDetector,
       crashSuspects,
+      streamOrigins,
       onEnd: recordCallEnd,
     },
     isStopping: () => stoppingSince !== undefined,
--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -19,10 +19,13 @@
 import type { RunningReplica } from '../keeper/replica.js';
 import { createTableAuthority } from '../keeper/tableAuthority.js';
 import { createEndpointRegistry } from '../registry/registry.js';
+import { createStreamOrigins } from '../streams/streamOrigins.js';
+import { startStreamOriginStore } from '../streams/streamOriginStore.js';
 import type { Adapter } from './types.js';
 
-/** Name of the file in the data folder, beside the folder of the log. */
+/** Names of files in the data folder, beside the folder of the log. */
 const CRASH_RECORD_FILE = 'crashes';
+const STREAM_ORIGIN_FILE = 'streams';
 /** Interval of the heartbeats between keepers. */
 const PEER_HEARTBEAT_INTERVAL_MS = 300;
 
@@ -57,6 +60,13 @@
     records: crashRecords,
     path: join(settings.keeper.dataFolder, CRASH_RECORD_FILE),
   });
+  const streamOrigins = createStreamOrigins(() => clock.now());
+  const streamOriginStore = startStreamOriginStore({
+    clock,
+    logger,
+    origins: streamOrigins,
+    path: join(settings.keeper.dataFolder, STREAM_ORIGIN_FILE),
+  });
   const authority = createTableAuthority({
     metadata,
     tryGetReplica: host.tryGetReplica,
@@ -68,6 +78,7 @@
     deployment: settings.deployment,
     registry,
     crashRecords,
+    streamOrigins,
     getTable: () => authority.current,
     readConfirmedTable,
     listKeepers,
@@ -88,6 +99,7 @@
     listAnnouncements: () => registry.list(),
     crashRecords,
     onCrashRecords: (records) => records.forEach(crashRecords.merge),
+    streamOrigins: undefined,
     onTable() {},
     onAnnouncements: (announcements) => announcements.forEach(announce),
     onReports() {},
@@ -107,10 +119,11 @@
   let publishedRevision = 0;
 
   return {
-    service: createControlService(settings, authority, feedServer),
+    service: createControlService(settings, authority, feedServer, streamOrigins),
     publish,
     async close() {
       crashRecordStore.close();
+      streamOriginStore.close();
       feedClient.close();
       feedServer.close();
       await controlApi?.close();
--- a/src/feed/feedClient.ts
+++ b/src/feed/feedClient.ts
@@ -8,7 +8,7 @@
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logging.js';
 import type { CrashRecordCursor, CrashRecords } from '../crashes/crashRecords.js';
-import { channelOptions, peerCredentials } from '../common/rpc.js';
+import { channelOptions, deadlineIn, peerCredentials } from '../common/rpc.js';
 import {
   ControlClient,
   type Announcement,
@@ -16,14 +16,22 @@
   type FeedMessage,
   type FeedUpdate,
   type GatewayReport,
+  type StreamOrigin,
 } from '../generated/control.js';
 import type { TableDocument } from '../generated/keeper.js';
+import type {
+  KeeperQuestion,
+  StreamOriginCursor,
+  StreamOrigins,
+} from '../streams/streamOrigins.js';
 import { chooseReportSource } from './reportSource.js';
 
 /** Time without updates after which a stream counts as dead; several push intervals of a keeper. */
 const IDLE_TIMEOUT_MS = 1_000;
 const MIN_RECONNECT_DELAY_MS = 100;
 const MAX_RECONNECT_DELAY_MS = 1_000;
+/** Time that a keeper has to answer where streams have begun. */
+const ORIGIN_TIMEOUT_MS = 300;
 
 /** Options, data sources and callbacks of a feed client. */
 export interface FeedClientHost {
@@ -48,6 +56,8 @@
   /** Sent to each keeper as they change. */
   crashRecords: Pick<CrashRecords, 'openCursor'>;
   onCrashRecords(records: CrashRecord[]): void;
+  /** Sent to each keeper as they are added; undefined if this process begins no streams. */
+  streamOrigins: Pick<StreamOrigins, 'openCursor'> | undefined;
   onTable(table: TableDocument, isConfirmed: boolean): void;
   onAnnouncements(announcements: Announcement[]): void;
   onReports(reports: GatewayReport[]): void;
@@ -57,6 +67,8 @@
 export interface FeedClient {
   /** Time since the last update from any keeper, in milliseconds. */
   readonly timeSinceUpdateMs: number;
+  /** Asks all connected keepers for origins of streams. */
+  findStreamOrigins: KeeperQuestion;
   close(): void;
 }
 
@@ -72,6 +84,8 @@
   reconnectDelayMs: number;
   /** Follows the crash records that have been sent on the current stream. */
   crashCursor: CrashRecordCursor;
+  /** Follows the stream origins that have been sent on the current stream. */
+  originCursor: StreamOriginCursor | undefined;
   /** Addresses of the cluster's members, as last sent by this keeper. */
   keepers: string[];
 }
@@ -89,6 +103,7 @@
     get timeSinceUpdateMs() {
       return clock.now() - lastUpdateAt;
     },
+    findStreamOrigins,
     close,
   };
 
@@ -101,8 +116,12 @@
       if (link.stream !== undefined && now - link.activeAt > IDLE_TIMEOUT_MS) drop(link, 'silent');
       if (link.stream === undefined && now >= link.reconnectAt) openStream(link);
       if (!link.isConnected) continue;
-      const crashRecords = link.crashCursor.takeChanged();
-      send(link, { report, wantsReports: link === reportSource, crashRecords });
+      send(link, {
+        report,
+        wantsReports: link === reportSource,
+        crashRecords: link.crashCursor.takeChanged(),
+        streamOrigins: link.originCursor?.takeAdded() ?? [],
+      });
     }
   }
 
@@ -135,6 +154,7 @@
       reconnectAt: 0,
       reconnectDelayMs: MIN_RECONNECT_DELAY_MS,
       crashCursor: host.crashRecords.openCursor(),
+      originCursor: host.streamOrigins?.openCursor(),
       keepers: [],
     };
   }
@@ -147,6 +167,7 @@
     const stream = link.client.feed(host.metadata);
     link.stream = stream;
     link.crashCursor = host.crashRecords.openCursor();
+    link.originCursor = host.streamOrigins?.openCursor();
     link.activeAt = clock.now();
     stream.on('data', (update: FeedUpdate) => {
       if (link.stream === stream) handleUpdate(link, update);
@@ -199,10 +220,30 @@
       report: undefined,
       announcements: [],
       crashRecords: [],
+      streamOrigins: [],
       ...message,
     });
   }
 
+  async function findStreamOrigins(
+    callIds: string[],
+    onOrigins: (origins: StreamOrigin[]) => void,
+  ): Promise<void> {
+    await Promise.all(
+      listConnected().map(async ({ client }) => onOrigins(await askForOrigins(client, callIds))),
+    );
+  }
+
+  /** Resolves without origins if the keeper does not answer in time. */
+  function askForOrigins(client: ControlClient, callIds: string[]): Promise<StreamOrigin[]> {
+    return new Promise((resolve) => {
+      const options = deadlineIn(ORIGIN_TIMEOUT_MS);
+      client.findStreamOrigins({ callIds }, host.metadata, options, (error, response) => {
+        resolve(error === null ? response.origins : []);
+      });
+    });
+  }
+
   function close(): void {
     clearInterval(timer);
     for (const link of links.values()) {
--- a/src/feed/feedServer.ts
+++ b/src/feed/feedServer.ts
@@ -12,6 +12,7 @@
 import type { Announcement, FeedMessage, FeedUpdate, GatewayReport } from '../generated/control.js';
 import type { TableDocument } from '../generated/keeper.js';
 import type { EndpointRegistry } from '../registry/registry.js';
+import type { StreamOrigins } from '../streams/streamOrigins.js';
 
 /** Interval of the updates that forward reports and show subscribers that this keeper is alive. */
 const PUSH_INTERVAL_MS = 100;
@@ -27,6 +28,7 @@
   deployment: string;
   registry: EndpointRegistry;
   crashRecords: CrashRecords;
+  streamOrigins: Pick<StreamOrigins, 'record'>;
   /** The newest table that is committed as far as this keeper knows. */
   getTable(): TableDocument;
   /** The table that a majority confirms to be in force; undefined if none can be confirmed now. */
@@ -97,6 +99,7 @@
     if (!subscribers.has(subscriber)) addSubscriber(subscriber, message.followerId);
     for (const announcement of message.announcements) announce(announcement);
     for (const record of message.crashRecords) host.crashRecords.merge(record);
+    for (const origin of message.streamOrigins) host.streamOrigins.record(origin);
     const { report } = message;
     if (report === undefined) return;
     reports.set(report.gatewayId, { report, receivedAt: clock.now() });
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -23,6 +23,7 @@
 } from './retryPolicy.js';
 import type { PlacementRequest, RefusalReason, Scheduler } from './scheduler.js';
 import type { StallDetector } from './stallDetector.js';
+import type { StreamOrigins } from '../streams/streamOrigins.js';
 import type { AttemptFailure, Call, Dialect, ResponseHead } from './types.js';
 
 /** Larger responses are forwarded as they arrive and not retried once they have started. */
@@ -39,6 +40,8 @@
   stallDetector: StallDetector;
   crashDetector: CrashDetector;
   crashSuspects: CrashSuspects;
+  /** Receives where streams of this gateway begin. */
+  streamOrigins: Pick<StreamOrigins, 'record'>;
   /** Called once when the call has ended. */
   onEnd(summary: CallSummary): void;
 }
@@ -81,7 +84,7 @@
     isRetryable: isRetryable(route),
     wasInterrupted: false,
     excluded,
-    softwareVersion: undefined,
+    softwareVersion: call.softwareVersion,
     onPlaced: send,
     onRefused: refuse,
   };
@@ -208,7 +211,16 @@
   }
 
   function startStream({ endpoint }: Attempt, head: ResponseHead): void {
-    placement.softwareVersion = endpoint.announcement.softwareVersion;
+    const { softwareVersion } = endpoint.announcement;
+    placement.softwareVersion = softwareVersion;
+    if (route.isResumable) {
+      host.streamOrigins.record({
+        callId: requestHead.id,
+        pool: call.pool,
+        softwareVersion,
+        ageMs: 0,
+      });
+    }
     startResponse(head);
   }
 
--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -10,8 +10,10 @@
 import { admit, consumeQuota, type TableState } from './callAdmission.js';
 import { suspectReply } from './crashSuspects.js';
 import { startCallHandler, type CallHandler, type CallHandlerHost } from './callHandler.js';
+import type { OriginLookup } from './originLookup.js';
 import type { Quotas } from './quotas.js';
 import { createResponseWriter, type LocalReply, type ResponseWriter } from './responseWriter.js';
+import { decideContinuation, getStreamId, isTakeUp } from './streamContinuation.js';
 import type { Call, Dialect, RequestHead } from './types.js';
 import { createWorkEstimator, estimateWork } from './workEstimator.js';
 
@@ -38,6 +40,7 @@
   table: TableState;
   tryGetLimits(): CallerLimits | undefined;
   quotas: Quotas;
+  originLookup: OriginLookup;
   handlerHost: CallHandlerHost;
   /** Whether connections are to be closed after their next response. */
   isStopping(): boolean;
@@ -125,13 +128,21 @@
     }
     const body = await tryReadBody(request, head, writer);
     if (body === undefined) return undefined;
-    // The routing table may have changed while the body was read.
+    const isContinued = isTakeUp(head, precheck.request.route);
+    const origin = isContinued ? await host.originLookup.tryFind(getStreamId(head)) : undefined;
+    // The routing table may have changed in the meantime.
     const admission = admit(host.table, head, host.random());
     if (admission.kind === 'refused') {
       refuse(writer, request, head, admission.reply);
       return undefined;
     }
-    const { route, pool, team } = admission.request;
+    const { route, team } = admission.request;
+    const continuation = isContinued ? decideContinuation(origin, route) : undefined;
+    if (continuation?.kind === 'refused') {
+      refuse(writer, request, head, continuation.reply);
+      return undefined;
+    }
+    const pool = continuation?.pool ?? admission.request.pool;
     if (host.handlerHost.crashSuspects.isSuspect({ head, team, body })) {
       refuse(writer, request, head, suspectReply);
       return undefined;
@@ -148,6 +159,7 @@
       route,
       pool,
       team,
+      softwareVersion: continuation?.softwareVersion,
       revision: host.table.index?.table.revision ?? 0,
       body: body.length > 0 ? body : undefined,
       relativeWork: estimator.recordWork(pool, estimateWork(head)),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -43,6 +43,8 @@
   route: Route;
   pool: string;
   team: Team | undefined;
+  /** The software version that must continue a stream that has begun earlier; undefined for others. */
+  softwareVersion: string | undefined;
   /** Revision of the routing table under which the call was admitted. */
   revision: number;
   body: Buffer | undefined;
--- a/src/keeper/controlService.ts
+++ b/src/keeper/controlService.ts
@@ -5,7 +5,8 @@
 import { createRefusal, tryGetRefusal } from '../common/rpc.js';
 import type { KeeperProcessSettings } from '../common/settings.js';
 import type { FeedServer } from '../feed/feedServer.js';
-import type { ControlServer } from '../generated/control.js';
+import type { ControlServer, FindStreamOriginsResponse } from '../generated/control.js';
+import type { StreamOrigins } from '../streams/streamOrigins.js';
 import type { TableAuthority } from './tableAuthority.js';
 
 /** Creates the handlers. */
@@ -13,6 +14,7 @@
   settings: KeeperProcessSettings,
   authority: TableAuthority,
   feed: FeedServer,
+  streamOrigins: Pick<StreamOrigins, 'tryGet'>,
 ): ControlServer {
   return {
     declare(call, callback) {
@@ -21,6 +23,9 @@
     readTable(call, callback) {
       respond(call.metadata, callback, () => authority.readLocally(call.request));
     },
+    findStreamOrigins(call, callback) {
+      respond(call.metadata, callback, () => Promise.resolve(findOrigins(call.request.callIds)));
+    },
     feed(stream) {
       const refusal = tryGetRefusal(stream.metadata, settings);
       if (refusal === undefined) feed.serve(stream);
@@ -28,6 +33,10 @@
     },
   };
 
+  function findOrigins(callIds: readonly string[]): FindStreamOriginsResponse {
+    return { origins: callIds.flatMap((callId) => streamOrigins.tryGet(callId) ?? []) };
+  }
+
   function respond<Response>(
     metadata: Metadata,
     callback: (error: Partial<ServiceError> | null, response?: Response) => void,
--- a/test/unit/feed/feedServer.test.ts
+++ b/test/unit/feed/feedServer.test.ts
@@ -21,6 +21,7 @@
     deployment: 'test',
     registry: createEndpointRegistry(),
     crashRecords,
+    streamOrigins: { record() {} },
     getTable: () => ({ revision: 1, document: Buffer.alloc(0) }),
     readConfirmedTable: () => Promise.resolve(undefined),
     listKeepers: () => [],
@@ -36,6 +37,7 @@
     followerId: 'gateway',
     announcements: [],
     crashRecords: [],
+    streamOrigins: [],
   };
   stream.emit('data', hello);
   return { server, updates, record };
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -100,6 +100,7 @@
         recordCrash() {},
         receive() {},
       },
+      streamOrigins: { record() {} },
       onEnd: (summary) => summaries.push(summary),
     },
     createTestCall(
