Queue a stream that its caller takes up like an interrupted request

They queued behind new requests, for 35% of the time left, and were refused at once by an estimate over all endpoints of the pool, though only those of one version may serve them. They rank before new requests of their team's rank now and wait for as long as a caller waits for a stream, as a request does whose endpoint fails. The test of the handler failed before.

--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -63,6 +63,8 @@
   const { clock, logger, scheduler, endpoints, retryBudget, dialect } = host;
   const { route, head: requestHead } = call;
   const isStream = route.kind === 'stream';
+  /** Whether the caller has already received a part of the stream. */
+  const isContinued = call.softwareVersion !== undefined;
   const splitter = createSplitter(route);
   const excluded = new Set<string>();
   const progress = createCallProgress(call, clock);
@@ -82,7 +84,7 @@
     slackMs: getSlackMs(call, call.arrivedAt),
     maxQueueMs: getMaxQueueMs(call, progress, call.arrivedAt),
     isRetryable: isRetryable(route),
-    wasInterrupted: false,
+    wasInterrupted: isContinued,
     excluded,
     softwareVersion: call.softwareVersion,
     onPlaced: send,
@@ -320,7 +322,7 @@
 
   function sendAgain(): void {
     const now = clock.now();
-    placement.wasInterrupted = progress.runCount > 0;
+    placement.wasInterrupted = isContinued || progress.runCount > 0;
     placement.maxQueueMs = getMaxQueueMs(call, progress, now);
     placement.slackMs = getSlackMs(call, now);
     scheduler.submit(placement);
--- a/src/gateway/queueRank.ts
+++ b/src/gateway/queueRank.ts
@@ -2,8 +2,8 @@
  * Priority order of waiting requests under overload. Sort keys, most significant first:
  *
  * 1. The rank of the team.
- * 2. Interrupted requests, whose endpoint failed while running them: their callers have already
- *    waited without a result.
+ * 2. Interrupted requests, whose endpoint failed while running them or whose callers take up a
+ *    stream that broke off: they have already waited without a result, or have a part of it.
  * 3. Requests that can still meet their objective before late ones, whose responses are worth less.
  * 4. The rank of the route.
  * 5. Short requests before long ones.
@@ -21,7 +21,7 @@
   /** Whether it can no longer meet its objective. */
   isLate: boolean;
   isShort: boolean;
-  /** Whether an endpoint failed while running it. */
+  /** Whether an endpoint failed while running it, in this request or the one that it takes up. */
   wasInterrupted: boolean;
 }
 
--- a/src/gateway/queueTime.ts
+++ b/src/gateway/queueTime.ts
@@ -12,14 +12,17 @@
 
 /** Returns the remaining time for which a request may be queued at all, in milliseconds. */
 export function getMaxQueueMs(
-  { route, deadline }: Call,
+  { route, deadline, softwareVersion }: Call,
   { runCount, lastForwardedAt }: CallProgress,
   now: number,
 ): number {
   if (runCount > 0) return deadline - now;
+  const waitedMs = now - lastForwardedAt;
+  const isContinued = softwareVersion !== undefined;
+  if (isContinued) return Math.min(deadline - now, MAX_STREAM_QUEUE_MS - waitedMs);
   const shareMs = (deadline - lastForwardedAt) * QUEUE_SHARE;
   const limitMs = route.kind === 'stream' ? Math.min(shareMs, MAX_STREAM_QUEUE_MS) : shareMs;
-  return limitMs - (now - lastForwardedAt);
+  return limitMs - waitedMs;
 }
 
 /** Returns the remaining time for which it may be queued and still meet its objective. */
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -50,7 +50,7 @@
   maxQueueMs: number;
   /** Whether it may be retried after it may have run at an endpoint. */
   isRetryable: boolean;
-  /** Whether an endpoint failed while running it. */
+  /** Whether an endpoint failed while running it, in this request or the one that it takes up. */
   wasInterrupted: boolean;
   /** Ids of endpoints where it must not be placed. */
   excluded: ReadonlySet<string>;
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -34,7 +34,13 @@
 function startHandler(
   kind: RouteKind,
   maxAttempts: number,
-  { canPlace = true, waitMs = WAIT_MS, head = responseHead, isResumable = kind === 'stream' } = {},
+  {
+    canPlace = true,
+    waitMs = WAIT_MS,
+    head = responseHead,
+    isResumable = kind === 'stream',
+    softwareVersion = undefined as string | undefined,
+  } = {},
 ) {
   const clock = new VirtualClock(ARRIVED_AT);
   const submitted: (Pick<
@@ -103,11 +109,14 @@
       streamOrigins: { record() {} },
       onEnd: (summary) => summaries.push(summary),
     },
-    createTestCall(
-      {},
-      createTestRoute({ kind, maxAttempts, timeoutMs: waitMs, isResumable }),
-      ARRIVED_AT,
-    ),
+    {
+      ...createTestCall(
+        {},
+        createTestRoute({ kind, maxAttempts, timeoutMs: waitMs, isResumable }),
+        ARRIVED_AT,
+      ),
+      softwareVersion,
+    },
     {
       get hasStarted() {
         return hasStarted;
@@ -201,6 +210,14 @@
     assert.ok(second.wasInterrupted);
   });
 
+  it('queues a stream that its caller takes up like an interrupted one', () => {
+    started = startHandler('stream', 2, { softwareVersion: 'v1', waitMs: 1_500 });
+    const [first] = started.submitted;
+    assert.ok(first?.wasInterrupted);
+    assert.equal(first.softwareVersion, 'v1');
+    assert.equal(first.maxQueueMs, 1_500);
+  });
+
   it('waits for its last attempt even if that is reported as stalled', () => {
     started = startHandler('idempotent', 1);
     started.place();
