Keep the reserve for taken-up streams for 3 s instead of 10 s

Take-ups come within seconds of a break; a longer reserve only holds back new requests of teams that are below their quota.

--- a/src/gateway/quotas.ts
+++ b/src/gateway/quotas.ts
@@ -29,7 +29,7 @@
  */
 const CONTINUED_RESERVE_S = 0.4;
 /** Time after the last request that continues a stream for which the reserve is kept. */
-const RESERVE_RETENTION_MS = 10_000;
+const RESERVE_RETENTION_MS = 3_000;
 
 /** Dependencies of the quotas. */
 export interface QuotaHost {
