Believe a refusal only if it is the response to the request

An endpoint that writes an earlier refusal once more on a kept connection made callers hear 'not run, try again' for a request that runs (REFUSED), or had it sent to a second endpoint (TWICE): the handler took any response that states not to have run for the request's own, before it compared the ids. The id comes first now, also before the stated load and rate, and the connection is closed. A request that is not idempotent ends in 502: its outcome is not known.

--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -165,17 +165,18 @@
     const head = dialect.parseResponse(status, rawHeaders);
     const { endpoint } = attempt;
     endpoint.lastActivityAt = clock.now();
+    attempt.head = head;
+    // Nothing that the response to another request says is about this one, not even a refusal.
+    if (head.callId !== requestHead.id) {
+      failAttempt(attempt, { kind: 'unknown', reason: 'response to another request' });
+      return;
+    }
     if (head.load !== undefined) endpoints.recordLoad(endpoint, head.load);
     endpoint.rateLimit.recordResponse(head.maxRequestRate, attempt.sentAt);
-    attempt.head = head;
     if (head.isNotRun) {
       failAttempt(attempt, { kind: 'notRun', status });
       return;
     }
-    if (head.callId !== requestHead.id) {
-      failAttempt(attempt, { kind: 'unknown', reason: 'response to another request' });
-      return;
-    }
     if (!head.isSigned) {
       failAttempt(attempt, { kind: 'unknown', reason: `unsigned response with status ${status}` });
     }
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -37,7 +37,7 @@
   {
     canPlace = true,
     waitMs = WAIT_MS,
-    head = responseHead,
+    heads = [responseHead],
     isResumable = kind === 'stream',
     softwareVersion = undefined as string | undefined,
   } = {},
@@ -54,6 +54,7 @@
   const ends: ('complete' | 'cut')[] = [];
   let hasStarted = false;
   let aborted = 0;
+  let headCount = 0;
   let placement: PlacementRequest | undefined;
   let watched: WatchedAttempt | undefined;
   const handler: CallHandler = startCallHandler(
@@ -63,7 +64,10 @@
       dialect: {
         tryParseRequest: () => undefined,
         toEndpointHeaders: () => [],
-        parseResponse: () => head,
+        parseResponse() {
+          headCount += 1;
+          return heads[headCount - 1] ?? responseHead;
+        },
         decodeTable: () => assert.fail('no table is decoded'),
       },
       scheduler: {
@@ -293,8 +297,8 @@
   });
 
   it("passes on nothing of a late second copy of another request's response", () => {
-    const head = { ...responseHead, callId: 'call-0' };
-    started = startHandler('nonIdempotent', 1, { head });
+    const heads = [{ ...responseHead, callId: 'call-0' }];
+    started = startHandler('nonIdempotent', 1, { heads });
     started.place();
     started.exchanges[0]?.onHead(200, []);
     started.exchanges[0]?.onData(Buffer.from('the answer to another request'));
@@ -304,6 +308,47 @@
     assert.equal(started.getAborted(), 1, 'the connection is not used again');
   });
 
+  it("does not take an earlier request's refusal, written once more, for its own", () => {
+    const heads = [{ ...responseHead, callId: 'call-0', status: 503, isNotRun: true }];
+    started = startHandler('nonIdempotent', 2, { heads });
+    started.place();
+    started.exchanges[0]?.onHead(503, []);
+    assert.deepEqual(started.statuses, [502], 'the request may have run');
+    assert.equal(started.submitted.length, 1, 'it is not sent again');
+    assert.equal(started.getAborted(), 1, 'the connection is not used again');
+  });
+
+  const errorHead = { ...responseHead, status: 500 };
+  const longError = Buffer.alloc(300 * 1024, 'error\n');
+
+  it("writes nothing of an endpoint's error into a stream that has begun", () => {
+    started = startHandler('stream', 2, { heads: [responseHead, errorHead] });
+    const { exchanges } = started;
+    started.place();
+    exchanges[0]?.onHead(200, []);
+    exchanges[0]?.onData(Buffer.from('id: 1\ndata: a\n\n'));
+    exchanges[0]?.onFailure(true, 'ECONNRESET');
+    started.place();
+    exchanges[1]?.onHead(500, []);
+    exchanges[1]?.onData(longError);
+    exchanges[1]?.onEnd();
+    assert.equal(Buffer.concat(started.forwarded).toString(), 'id: 1\ndata: a\n\n');
+    assert.deepEqual(started.ends, ['cut']);
+    assert.equal(started.summaries.length, 1);
+  });
+
+  it('writes no stream into an error response that has begun', () => {
+    started = startHandler('stream', 2, { heads: [errorHead] });
+    const { exchanges } = started;
+    started.place();
+    exchanges[0]?.onHead(500, []);
+    exchanges[0]?.onData(longError);
+    const isForwarded = started.forwarded.length > 0;
+    exchanges[0]?.onFailure(true, 'ECONNRESET');
+    const wasSentAgain = started.submitted.length === 2;
+    assert.ok(!(isForwarded && wasSentAgain));
+  });
+
   it('ends a stream of which a byte arrives now and then, but no event, in time', async () => {
     started = startHandler('stream', 1, { waitMs: DRIBBLE_WAIT_MS });
     const { clock, exchanges, summaries } = started;
