Write no error into a stream that has begun, and no stream into an error

An error during a stream now ends that attempt at its head, and the stream is resumed elsewhere or broken off.

The other way round, a long error response of which a part was forwarded and that then broke off was followed by another endpoint's stream. Only a stream of events counts as resumable now; a long error is retried before any of it is forwarded, and a complete one is no longer broken off.

The placement request of a call moves to a module of its own.

--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -11,17 +11,16 @@
 import { suspectReply, type CrashSuspects } from './crashSuspects.js';
 import type { Endpoint, EndpointTracker } from './endpointTracker.js';
 import { createSplitter } from './eventSplitter.js';
-import { getMaxQueueMs, getSlackMs } from './queueTime.js';
+import { createPlacementRequest, updatePlacementRequest } from './placementRequest.js';
 import type { LocalReply, ResponseWriter } from './responseWriter.js';
 import type { RetryBudget } from './retryBudget.js';
 import {
   decideNextStep,
   describeAttemptFailure,
   getFinalStep,
-  isRetryable,
   type NextStep,
 } from './retryPolicy.js';
-import type { PlacementRequest, RefusalReason, Scheduler } from './scheduler.js';
+import type { RefusalReason, Scheduler } from './scheduler.js';
 import type { StallDetector } from './stallDetector.js';
 import type { StreamOrigins } from '../streams/streamOrigins.js';
 import type { AttemptFailure, Call, Dialect, ResponseHead } from './types.js';
@@ -63,33 +62,20 @@
   const { clock, logger, scheduler, endpoints, retryBudget, dialect } = host;
   const { route, head: requestHead } = call;
   const isStream = route.kind === 'stream';
-  /** Whether the caller has already received a part of the stream. */
-  const isContinued = call.softwareVersion !== undefined;
   const splitter = createSplitter(route);
   const excluded = new Set<string>();
   const progress = createCallProgress(call, clock);
   let isOver = false;
   let current: Attempt | undefined;
+  /** Whether events have been forwarded, which another endpoint may continue. */
+  let hasStreamStarted = false;
   /** Whether the response has begun at any endpoint. */
   let hasBegun = requestHead.resumeAfter !== undefined;
-  const placement: PlacementRequest = {
-    pool: call.pool,
-    route: route.name,
-    teamRank: call.team?.rank ?? 0,
-    routeRank: route.rank,
-    relativeWork: call.relativeWork,
-    promptTokens: requestHead.tokens?.prompt ?? 0,
-    objectiveMs: route.objectiveMs,
-    arrivedAt: call.arrivedAt,
-    slackMs: getSlackMs(call, call.arrivedAt),
-    maxQueueMs: getMaxQueueMs(call, progress, call.arrivedAt),
-    isRetryable: isRetryable(route),
-    wasInterrupted: isContinued,
+  const placement = createPlacementRequest(call, progress, {
     excluded,
-    softwareVersion: call.softwareVersion,
     onPlaced: send,
     onRefused: refuse,
-  };
+  });
   const timer = setTimeout(timeOut, call.deadline - clock.now());
   scheduler.submit(placement);
 
@@ -179,7 +165,10 @@
     }
     if (!head.isSigned) {
       failAttempt(attempt, { kind: 'unknown', reason: `unsigned response with status ${status}` });
+      return;
     }
+    // Nothing of an error may follow the events that the caller has.
+    if (hasStreamStarted && !isSuccess(head)) failAttempt(attempt, { kind: 'failed', status });
   }
 
   function handleData(attempt: Attempt, chunk: Buffer): boolean {
@@ -189,7 +178,10 @@
     if (isStream && isSuccess(head)) return forward(attempt, head, chunk);
     attempt.buffer(chunk);
     if (attempt.bufferedBytes <= MAX_BUFFERED_BYTES) return true;
-    if (!writer.hasStarted) startResponse(head);
+    if (!writer.hasStarted) {
+      if (isFailure(head) && tryRetry(attempt, head)) return true;
+      startResponse(head);
+    }
     return writer.write(attempt.takeBuffered());
   }
 
@@ -224,6 +216,7 @@
         ageMs: 0,
       });
     }
+    hasStreamStarted = true;
     startResponse(head);
   }
 
@@ -246,17 +239,11 @@
       failAttempt(attempt, { kind: 'unknown', reason: 'stream ended before its first event' });
       return;
     }
-    const isFailure = head.status >= 500;
-    if (isFailure && tryRetry(attempt, head)) return;
-    if (isFailure) attempt.endpoint.health.recordErrorResponse(clock.now());
+    if (isFailure(head) && tryRetry(attempt, head)) return;
+    if (isFailure(head)) attempt.endpoint.health.recordErrorResponse(clock.now());
     else attempt.endpoint.health.recordSuccess();
     attempt.recordEnd();
     recordBegun();
-    if (writer.hasStarted && head.status >= 300) {
-      // The resumed part of a stream failed, so the caller has only a part of the response.
-      abandon(attempt, 'failed', 0, `resuming the stream failed with status ${head.status}`);
-      return;
-    }
     progress.runCount += 1;
     endAttempt(attempt);
     const rest = attempt.takeBuffered();
@@ -312,9 +299,9 @@
   /** Decides the step after a failure; takes a retry from the shared budget if the step needs one. */
   function decide(failure: AttemptFailure, runs: number): NextStep {
     const remainingMs = call.deadline - clock.now();
-    const { hasStarted } = writer;
+    const isCommitted = writer.hasStarted && !hasStreamStarted;
     const { attemptCount } = progress;
-    const facts = { failure, route, runCount: runs, attemptCount, remainingMs, hasStarted };
+    const facts = { failure, route, runCount: runs, attemptCount, remainingMs, isCommitted };
     const step = decideNextStep(facts);
     if (step.kind !== 'sendAgain' || !step.needsBudget) return step;
     if (retryBudget.tryConsume(call.pool)) return step;
@@ -322,10 +309,7 @@
   }
 
   function sendAgain(): void {
-    const now = clock.now();
-    placement.wasInterrupted = isContinued || progress.runCount > 0;
-    placement.maxQueueMs = getMaxQueueMs(call, progress, now);
-    placement.slackMs = getSlackMs(call, now);
+    updatePlacementRequest(placement, call, progress, clock.now());
     scheduler.submit(placement);
   }
 
@@ -357,17 +341,6 @@
     finish('failed', 502, reason);
   }
 
-  function abandon(
-    attempt: Attempt,
-    outcome: CallSummary['outcome'],
-    status: number,
-    reason: string,
-  ): void {
-    endAttempt(attempt);
-    writer.destroy();
-    finish(outcome, status, reason);
-  }
-
   function timeOut(): void {
     if (isOver) return;
     if (writer.hasStarted) writer.destroy();
@@ -401,6 +374,10 @@
   }
 }
 
+function isFailure({ status }: ResponseHead): boolean {
+  return status >= 500;
+}
+
 function isSuccess({ status }: ResponseHead): boolean {
   return status >= 200 && status < 300;
 }
--- a/src/gateway/retryPolicy.ts
+++ b/src/gateway/retryPolicy.ts
@@ -18,8 +18,8 @@
   /** All attempts so far. */
   attemptCount: number;
   remainingMs: number;
-  /** Whether a part of the response has been sent to the caller. */
-  hasStarted: boolean;
+  /** Whether the caller has received a part of a response that no other endpoint can continue. */
+  isCommitted: boolean;
 }
 
 export type NextStep =
@@ -65,9 +65,9 @@
 }
 
 /** Whether a request that may have run may be sent again now. */
-function canRetry({ route, runCount, remainingMs, hasStarted }: FailedAttempt): boolean {
+function canRetry({ route, runCount, remainingMs, isCommitted }: FailedAttempt): boolean {
   if (runCount >= route.maxAttempts || remainingMs <= MIN_REMAINING_MS) return false;
-  return isRetryable(route) && (route.kind === 'stream' || !hasStarted);
+  return isRetryable(route) && !isCommitted;
 }
 
 /** Formats a failure for log lines. */
--- a/test/unit/gateway/retryPolicy.test.ts
+++ b/test/unit/gateway/retryPolicy.test.ts
@@ -20,7 +20,7 @@
     runCount: 1,
     attemptCount: 1,
     remainingMs: 1_000,
-    hasStarted: false,
+    isCommitted: false,
     ...changes,
   }).kind;
 }
@@ -36,9 +36,10 @@
     assert.equal(decide({ runCount: 2 }), 'fail');
   });
 
-  it('resumes a resumable stream even if the response has started', () => {
-    assert.equal(decide({ route: createRoute('stream', true), hasStarted: true }), 'sendAgain');
-    assert.equal(decide({ hasStarted: true }), 'fail');
+  it('resumes a resumable stream, but continues no response that only one endpoint can', () => {
+    assert.equal(decide({ route: createRoute('stream', true) }), 'sendAgain');
+    assert.equal(decide({ route: createRoute('stream', true), isCommitted: true }), 'fail');
+    assert.equal(decide({ isCommitted: true }), 'fail');
   });
 
   it('retries a request of any kind that has certainly not run', () => {
