Send nothing more to an endpoint whose response says that it leaves

Nobody read the header; the endpoint's next heartbeat may come seconds later. The gateway takes it for an announcement of the endpoint now and passes it on to all keepers and so to all gateways.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -63,7 +63,13 @@
     decode: dialect.decodeTable,
     onTable: applyTable,
   });
-  const endpoints = createEndpointTracker({ logger, now, random: Math.random, registry });
+  const endpoints = createEndpointTracker({
+    logger,
+    now,
+    random: Math.random,
+    registry,
+    onLeaving: (announcement) => feed.announce(announcement),
+  });
   const quotas = createQuotas({
     now,
     slack: gateway.quotaSlack ?? 0,
--- a/src/feed/feedClient.ts
+++ b/src/feed/feedClient.ts
@@ -67,6 +67,8 @@
 export interface FeedClient {
   /** Time since the last update from any keeper, in milliseconds. */
   readonly timeSinceUpdateMs: number;
+  /** Sends an announcement to all connected keepers at once. */
+  announce(announcement: Announcement): void;
   /** Asks all connected keepers for origins of streams. */
   findStreamOrigins: KeeperQuestion;
   close(): void;
@@ -103,6 +105,9 @@
     get timeSinceUpdateMs() {
       return clock.now() - lastUpdateAt;
     },
+    announce(announcement) {
+      for (const link of listConnected()) send(link, { announcements: [announcement] });
+    },
     findStreamOrigins,
     close,
   };
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -159,6 +159,7 @@
     }
     if (head.load !== undefined) endpoints.recordLoad(endpoint, head.load);
     endpoint.rateLimit.recordResponse(head.maxRequestRate, attempt.sentAt);
+    if (head.isLeaving) endpoints.recordLeaving(endpoint);
     if (head.isNotRun) {
       failAttempt(attempt, { kind: 'notRun', status });
       return;
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -52,6 +52,8 @@
   now(): number;
   random(): number;
   registry: EndpointRegistry;
+  /** Called once when an endpoint states in a response that it leaves. */
+  onLeaving(announcement: Announcement): void;
 }
 
 /** All endpoints of a gateway. */
@@ -68,6 +70,8 @@
   getUnreadTokens(endpoint: Endpoint): number;
   applyReport(report: GatewayReport): void;
   recordLoad(endpoint: Endpoint, load: ReportedLoad): void;
+  /** Records that an endpoint states to leave. */
+  recordLeaving(endpoint: Endpoint): void;
   /** Loads and ejections of endpoints, for this gateway's own report. */
   listLoads(): EndpointLoad[];
   readonly gatewayCounts: GatewayCounts;
@@ -92,6 +96,7 @@
     getUnreadTokens,
     applyReport,
     recordLoad,
+    recordLeaving,
     listLoads,
     get gatewayCounts() {
       return countGateways();
@@ -233,6 +238,13 @@
     endpoint.selfReported = { ...load, at: host.now(), ownRunning: endpoint.running };
   }
 
+  function recordLeaving({ announcement }: Endpoint): void {
+    const leaving = { ...announcement, state: 'leaving' };
+    if (!host.registry.merge(leaving)) return;
+    host.logger.event('endpointLeaving', { endpoint: announcement.endpointId });
+    host.onLeaving(leaving);
+  }
+
   function logRateChange(
     endpoint: string,
     perSecond: number | undefined,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -78,6 +78,8 @@
   load: ReportedLoad | undefined;
   /** Requests per second that the endpoint takes from all gateways together; undefined without a limit. */
   maxRequestRate: number | undefined;
+  /** Whether the endpoint states that it leaves, so that it gets no new requests. */
+  isLeaving: boolean;
   /** Alternating names and values, as forwarded to the caller. */
   headers: string[];
 }
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -27,6 +27,7 @@
   isNotRun: false,
   load: undefined,
   maxRequestRate: undefined,
+  isLeaving: false,
   headers: [],
 };
 
@@ -90,6 +91,7 @@
         getUnreadTokens: () => 0,
         applyReport() {},
         recordLoad() {},
+        recordLeaving() {},
         listLoads: () => [],
         gatewayCounts: { responsive: 1, known: 1 },
         close() {},
--- a/test/unit/gateway/scheduler.test.ts
+++ b/test/unit/gateway/scheduler.test.ts
@@ -63,6 +63,7 @@
     getUnreadTokens: () => 0,
     applyReport() {},
     recordLoad() {},
+    recordLeaving() {},
     listLoads: () => [],
     gatewayCounts: { responsive: 1, known: 1 },
     close() {},
--- a/test/unit/gateway/versionPlacement.test.ts
+++ b/test/unit/gateway/versionPlacement.test.ts
@@ -32,6 +32,7 @@
       getUnreadTokens: () => 0,
       applyReport() {},
       recordLoad() {},
+      recordLeaving() {},
       listLoads: () => [],
       gatewayCounts: { responsive: 1, known: 1 },
       close() {},
