Send nothing to an endpoint for as long as it asks for in a refusal

Nobody read the header. Such an endpoint is not usable at this gateway until the time is over; a new incarnation is.

--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -157,9 +157,7 @@
       failAttempt(attempt, { kind: 'unknown', reason: 'response to another request' });
       return;
     }
-    if (head.load !== undefined) endpoints.recordLoad(endpoint, head.load);
-    endpoint.rateLimit.recordResponse(head.maxRequestRate, attempt.sentAt);
-    if (head.isLeaving) endpoints.recordLeaving(endpoint);
+    endpoints.recordStatements(endpoint, head, attempt.sentAt);
     if (head.isNotRun) {
       failAttempt(attempt, { kind: 'notRun', status });
       return;
--- a/src/gateway/endpointHealth.ts
+++ b/src/gateway/endpointHealth.ts
@@ -39,6 +39,8 @@
   recordBrokenResponse(now: number): void;
   /** Records that no connection could be made, which ejects the endpoint at once. */
   recordUnreachable(now: number): void;
+  /** Records that the endpoint wants no requests from this gateway until `until`. */
+  recordUnwanted(until: number): void;
 }
 
 /** Creates the state of a healthy endpoint. */
@@ -47,6 +49,7 @@
   let failureShare = 0;
   let ejectedUntil = 0;
   let ejectionMs = MIN_EJECTION_MS;
+  let unwantedUntil = 0;
   let isOnProbation = false;
   let isEjectedElsewhere = false;
 
@@ -73,10 +76,13 @@
     recordBrokenResponse,
     // Further requests would not get through for a while either.
     recordUnreachable: eject,
+    recordUnwanted(until) {
+      unwantedUntil = Math.max(unwantedUntil, until);
+    },
   };
 
   function isUsable(now: number, { running, isRetryable }: ProbeCandidate): boolean {
-    if (now < ejectedUntil) return false;
+    if (now < Math.max(ejectedUntil, unwantedUntil)) return false;
     if (!isOnProbation && !isEjectedElsewhere) return true;
     if (running > 0) return false;
     return isRetryable || now >= ejectedUntil + RETRYABLE_ONLY_MS;
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -15,7 +15,7 @@
   type RequestRateLimit,
 } from './requestRateLimit.js';
 import { createSlotLimiter, type SlotLimiter } from './slotLimiter.js';
-import type { ReportedLoad } from './types.js';
+import type { ReportedLoad, ResponseHead } from './types.js';
 
 /** Age after which the report of another gateway is ignored. */
 const REPORT_RETENTION_MS = 1_500;
@@ -69,9 +69,8 @@
   /** Estimated prompt tokens of all gateways that an endpoint has not processed yet. */
   getUnreadTokens(endpoint: Endpoint): number;
   applyReport(report: GatewayReport): void;
-  recordLoad(endpoint: Endpoint, load: ReportedLoad): void;
-  /** Records that an endpoint states to leave. */
-  recordLeaving(endpoint: Endpoint): void;
+  /** Records what an endpoint states of itself in the response to a request sent at `sentAt`. */
+  recordStatements(endpoint: Endpoint, head: ResponseHead, sentAt: number): void;
   /** Loads and ejections of endpoints, for this gateway's own report. */
   listLoads(): EndpointLoad[];
   readonly gatewayCounts: GatewayCounts;
@@ -95,8 +94,7 @@
     getOccupancy,
     getUnreadTokens,
     applyReport,
-    recordLoad,
-    recordLeaving,
+    recordStatements,
     listLoads,
     get gatewayCounts() {
       return countGateways();
@@ -234,6 +232,18 @@
     if (host.now() - endpoint.lastActivityAt > RECENT_MS) endpoint.health.recordRemoteEjection();
   }
 
+  function recordStatements(endpoint: Endpoint, head: ResponseHead, sentAt: number): void {
+    if (head.load !== undefined) recordLoad(endpoint, head.load);
+    endpoint.rateLimit.recordResponse(head.maxRequestRate, sentAt);
+    if (head.isLeaving) recordLeaving(endpoint);
+    if (head.unwantedForMs !== undefined) recordUnwanted(endpoint, head.unwantedForMs);
+  }
+
+  function recordUnwanted({ announcement, health }: Endpoint, forMs: number): void {
+    health.recordUnwanted(host.now() + forMs);
+    host.logger.event('endpointPaused', { endpoint: announcement.endpointId, forMs });
+  }
+
   function recordLoad(endpoint: Endpoint, load: ReportedLoad): void {
     endpoint.selfReported = { ...load, at: host.now(), ownRunning: endpoint.running };
   }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -80,6 +80,8 @@
   maxRequestRate: number | undefined;
   /** Whether the endpoint states that it leaves, so that it gets no new requests. */
   isLeaving: boolean;
+  /** Time for which the endpoint wants no more requests from this gateway, in milliseconds. */
+  unwantedForMs: number | undefined;
   /** Alternating names and values, as forwarded to the caller. */
   headers: string[];
 }
--- a/test/faults/endpointStatements.test.ts
+++ b/test/faults/endpointStatements.test.ts
@@ -14,6 +14,10 @@
 /** Time after which an endpoint that leaves must get no new requests. */
 const LEAVE_LIMIT_MS = 2_000;
 const OBSERVED_MS = 1_500;
+const REFUSING_S = 4;
+/** Time after a refusal from which on requests to its endpoint count. */
+const REFUSAL_LAG_MS = 500;
+const MAX_SENDS_PER_GATEWAY = 2;
 
 /** Sends requests to `gateways` in turn until stopped. */
 function startLoad(deployment: GatewayDeployment, gateways: readonly number[]) {
@@ -70,4 +74,15 @@
     await delay(OBSERVED_MS);
     assert.equal(countArrivals(from), 0);
   });
+
+  it('gets no more requests for as long as it wants when it turns one away', async () => {
+    load = startLoad(deployment, [0, 1]);
+    await waitFor('requests at the endpoint', () => stating.arrivals.length > 20);
+    const from = performance.now();
+    stating.startRefusing(REFUSING_S);
+    await delay(REFUSING_S * 1_000);
+    const allowed = deployment.gatewayIds.length * MAX_SENDS_PER_GATEWAY;
+    const arrivals = countArrivals(from + REFUSAL_LAG_MS);
+    assert.ok(arrivals <= allowed, `${arrivals} requests`);
+  });
 });
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -28,6 +28,7 @@
   load: undefined,
   maxRequestRate: undefined,
   isLeaving: false,
+  unwantedForMs: undefined,
   headers: [],
 };
 
@@ -90,8 +91,7 @@
         getOccupancy: () => 0,
         getUnreadTokens: () => 0,
         applyReport() {},
-        recordLoad() {},
-        recordLeaving() {},
+        recordStatements() {},
         listLoads: () => [],
         gatewayCounts: { responsive: 1, known: 1 },
         close() {},
--- a/test/unit/platform/dialect.test.ts
+++ b/test/unit/platform/dialect.test.ts
@@ -35,6 +35,32 @@
     ]);
   });
 
+  function parseResponse(status: number, ...headers: string[]) {
+    return platformDialect.parseResponse(
+      status,
+      headers.map((text) => Buffer.from(text)),
+    );
+  }
+
+  it('reads that an endpoint leaves, but not from a response that another endpoint gave', () => {
+    assert.ok(parseResponse(200, 'Server-Leaving', '1').isLeaving);
+    assert.ok(!parseResponse(200, 'Server-Leaving', '0').isLeaving);
+    assert.ok(!parseResponse(421, 'Server-Leaving', '1').isLeaving);
+  });
+
+  it('reads for how long an endpoint wants no requests, from refusals only', () => {
+    assert.equal(parseResponse(503, 'Retry-After', '1.5').unwantedForMs, 1_500);
+    assert.equal(parseResponse(503, 'Retry-After', 'soon').unwantedForMs, undefined);
+    assert.equal(parseResponse(200, 'Retry-After', '1').unwantedForMs, undefined);
+  });
+
+  it('reads which stream a request takes up, and forwards the name', () => {
+    const head = parse({ resumes: 'call-0', 'last-event-id': '12' });
+    assert.equal(head?.resumedCallId, 'call-0');
+    assert.equal(head?.resumeAfter, '12');
+    assert.deepEqual(head?.headers, ['resumes', 'call-0']);
+  });
+
   it('names no shared parts of a prompt that is all its own, or of a request without one', () => {
     assert.deepEqual(parse({ 'turmericrack-prefix-hash': 'e4402b7d:250' })?.sharedParts, []);
     assert.deepEqual(parse({})?.sharedParts, []);
