Send where streams begin to the keepers within milliseconds

They are sent after 15 ms now. Messages that a gateway sends beside its reports no longer end the reports that it gets until its next one.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -152,7 +152,10 @@
       stallDetector,
       crashDetector,
       crashSuspects,
-      streamOrigins,
+      recordStreamOrigin(origin) {
+        streamOrigins.record(origin);
+        feed.sendOriginsSoon();
+      },
       onEnd: recordCallEnd,
     },
     isStopping: () => stoppingSince !== undefined,
--- a/src/feed/feedClient.ts
+++ b/src/feed/feedClient.ts
@@ -30,6 +30,8 @@
 const IDLE_TIMEOUT_MS = 1_000;
 const MIN_RECONNECT_DELAY_MS = 100;
 const MAX_RECONNECT_DELAY_MS = 1_000;
+/** Time for which stream origins are collected; a gateway that is killed takes those with it. */
+const ORIGIN_DELAY_MS = 15;
 /** Time that a keeper has to answer where streams have begun. */
 const ORIGIN_TIMEOUT_MS = 300;
 
@@ -67,6 +69,8 @@
 export interface FeedClient {
   /** Time since the last update from any keeper, in milliseconds. */
   readonly timeSinceUpdateMs: number;
+  /** Sends new stream origins to all connected keepers within a few milliseconds. */
+  sendOriginsSoon(): void;
   /** Sends an announcement to all connected keepers at once. */
   announce(announcement: Announcement): void;
   /** Asks all connected keepers for origins of streams. */
@@ -98,6 +102,7 @@
   const links = new Map<string, KeeperLink>();
   let lastUpdateAt = clock.now();
   let reportSource: KeeperLink | undefined;
+  let originTimer: NodeJS.Timeout | undefined;
   const timer = setInterval(maintainLinks, host.intervalMs);
   maintainLinks();
 
@@ -105,6 +110,9 @@
     get timeSinceUpdateMs() {
       return clock.now() - lastUpdateAt;
     },
+    sendOriginsSoon() {
+      originTimer ??= setTimeout(sendOrigins, ORIGIN_DELAY_MS);
+    },
     announce(announcement) {
       for (const link of listConnected()) send(link, { announcements: [announcement] });
     },
@@ -123,7 +131,6 @@
       if (!link.isConnected) continue;
       send(link, {
         report,
-        wantsReports: link === reportSource,
         crashRecords: link.crashCursor.takeChanged(),
         streamOrigins: link.originCursor?.takeAdded() ?? [],
       });
@@ -221,7 +228,7 @@
     link.stream?.write({
       deployment: host.deployment,
       followerId: host.subscriberId,
-      wantsReports: false,
+      wantsReports: link === reportSource,
       report: undefined,
       announcements: [],
       crashRecords: [],
@@ -230,6 +237,14 @@
     });
   }
 
+  function sendOrigins(): void {
+    originTimer = undefined;
+    for (const link of listConnected()) {
+      const streamOrigins = link.originCursor?.takeAdded() ?? [];
+      if (streamOrigins.length > 0) send(link, { streamOrigins });
+    }
+  }
+
   async function findStreamOrigins(
     callIds: string[],
     onOrigins: (origins: StreamOrigin[]) => void,
@@ -251,6 +266,7 @@
 
   function close(): void {
     clearInterval(timer);
+    clearTimeout(originTimer);
     for (const link of links.values()) {
       cancel(link.stream);
       link.client.close();
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -5,6 +5,7 @@
 
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logging.js';
+import type { StreamOrigin } from '../generated/control.js';
 import { createAttempt, type Attempt } from './attempt.js';
 import { createCallProgress, type CallSummary } from './callProgress.js';
 import type { CrashDetector } from './crashDetector.js';
@@ -22,7 +23,6 @@
 } from './retryPolicy.js';
 import type { RefusalReason, Scheduler } from './scheduler.js';
 import type { StallDetector } from './stallDetector.js';
-import type { StreamOrigins } from '../streams/streamOrigins.js';
 import type { AttemptFailure, Call, Dialect, ResponseHead } from './types.js';
 
 /** Larger responses are forwarded as they arrive and not retried once they have started. */
@@ -40,7 +40,7 @@
   crashDetector: CrashDetector;
   crashSuspects: CrashSuspects;
   /** Receives where streams of this gateway begin. */
-  streamOrigins: Pick<StreamOrigins, 'record'>;
+  recordStreamOrigin(origin: StreamOrigin): void;
   /** Called once when the call has ended. */
   onEnd(summary: CallSummary): void;
 }
@@ -208,7 +208,7 @@
     const { softwareVersion } = endpoint.announcement;
     placement.softwareVersion = softwareVersion;
     if (route.isResumable) {
-      host.streamOrigins.record({
+      host.recordStreamOrigin({
         callId: requestHead.id,
         pool: call.pool,
         softwareVersion,
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -112,7 +112,7 @@
         recordCrash() {},
         receive() {},
       },
-      streamOrigins: { record() {} },
+      recordStreamOrigin() {},
       onEnd: (summary) => summaries.push(summary),
     },
     {
