Look for callers that have gone before their requests count against a quota

Requests of callers that had given up at a gateway that reads late used up their team's quota before the closed connection was noticed, and live ones were refused as over quota. The sockets are read once more before admission now.

--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -111,15 +111,24 @@
       refuse(writer, request, head, { status: 503, reason: 'shutting down', retryAfterMs });
       return;
     }
+    await pollClosedConnections();
+    if (isCallerGone()) {
+      endAbandoned(head);
+      return;
+    }
     const call = await tryCreateCall(request, head, arrivedAt, writer);
     if (call === undefined) return;
-    await pollClosedConnections();
-    if (isClosed || request.socket.readableEnded) {
-      logger.event('callerGone', { request: head.id, lagMs: Math.round(clock.now() - arrivedAt) });
+    if (isCallerGone()) endAbandoned(head);
+    else handler = startCallHandler(host.handlerHost, call, writer);
+
+    function isCallerGone(): boolean {
+      return isClosed || request.socket.readableEnded;
+    }
+
+    function endAbandoned({ id }: RequestHead): void {
+      logger.event('callerGone', { request: id, lagMs: Math.round(clock.now() - arrivedAt) });
       response.destroy();
-      return;
     }
-    handler = startCallHandler(host.handlerHost, call, writer);
   }
 
   /** Reads and admits a request; returns undefined if it has been refused. */
@@ -231,7 +240,7 @@
 /**
  * Lets the event loop read from sockets a few times more. If the gateway reads a request late, its
  * caller may have closed the connection after sending it; the close is then noticed before the
- * request is sent to an endpoint.
+ * request counts against its team's quota and is sent to an endpoint.
  */
 async function pollClosedConnections(): Promise<void> {
   for (let turn = 0; turn < TURNS_TO_NOTICE_CLOSE; turn += 1) await setImmediate();
