--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -14,6 +14,7 @@
 import type { RouteKind } from '../../../src/routing/types.js';
 import { createTestCall, createTestRoute } from '../../fixtures/gatewayCall.js';
 import { createTestEndpoint } from '../../fixtures/gatewayEndpoint.js';
+import { createTestTracker } from '../../fixtures/gatewayTracker.js';
 
 const ARRIVED_AT = 1_000;
 const WAIT_MS = 10_000;
@@ -84,18 +85,7 @@
         waitingCount: 0,
         close() {},
       },
-      endpoints: {
-        syncWithRegistry() {},
-        listUsable: () => [],
-        hasReady: () => true,
-        getOccupancy: () => 0,
-        getUnreadTokens: () => 0,
-        applyReport() {},
-        recordStatements() {},
-        listLoads: () => [],
-        gatewayCounts: { responsive: 1, known: 1 },
-        close() {},
-      },
+      endpoints: createTestTracker(),
       retryBudget: { recordRequest() {}, tryConsume: () => true },
       stallDetector: {
         add(attempt) {
--- a/test/unit/gateway/scheduler.test.ts
+++ b/test/unit/gateway/scheduler.test.ts
@@ -4,9 +4,10 @@
 import { describe, it } from 'node:test';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import type { Endpoint, EndpointTracker } from '../../../src/gateway/endpointTracker.js';
+import type { Endpoint } from '../../../src/gateway/endpointTracker.js';
 import { createScheduler, type PlacementRequest } from '../../../src/gateway/scheduler.js';
 import { createTestEndpoint } from '../../fixtures/gatewayEndpoint.js';
+import { createTestTracker } from '../../fixtures/gatewayTracker.js';
 
 const POOL = 'engines';
 const SLOTS = 10;
@@ -54,21 +55,6 @@
   return createTestEndpoint({ id: `engine-${index}`, pool: POOL, slots: SLOTS });
 }
 
-function createTracker(endpoints: Endpoint[]): EndpointTracker {
-  return {
-    syncWithRegistry() {},
-    listUsable: () => endpoints,
-    hasReady: () => true,
-    getOccupancy: (endpoint) => endpoint.running,
-    getUnreadTokens: () => 0,
-    applyReport() {},
-    recordStatements() {},
-    listLoads: () => [],
-    gatewayCounts: { responsive: 1, known: 1 },
-    close() {},
-  };
-}
-
 async function simulate({
   classes,
   getLoad,
@@ -87,7 +73,7 @@
   const scheduler = createScheduler({
     now: () => time,
     random,
-    endpoints: createTracker(endpoints),
+    endpoints: createTestTracker({ listUsable: () => endpoints }),
     isEngine: () => true,
   });
   const meanMs = classes.reduce((sum, each) => sum + each.share * each.serviceMs, 0);
@@ -321,7 +307,7 @@
     const scheduler = createScheduler({
       now: () => 0,
       random: () => 0.5,
-      endpoints: createTracker([]),
+      endpoints: createTestTracker({ listUsable: () => [] }),
       isEngine: () => true,
     });
     let longestMs = 0;
--- a/test/unit/gateway/versionPlacement.test.ts
+++ b/test/unit/gateway/versionPlacement.test.ts
@@ -9,6 +9,7 @@
   type Scheduler,
 } from '../../../src/gateway/scheduler.js';
 import { createTestEndpoint } from '../../fixtures/gatewayEndpoint.js';
+import { createTestTracker } from '../../fixtures/gatewayTracker.js';
 
 const POOL = 'engines';
 
@@ -23,19 +24,11 @@
     now: () => performance.now(),
     random: Math.random,
     isEngine: () => true,
-    endpoints: {
-      syncWithRegistry() {},
+    endpoints: createTestTracker({
       listUsable: () => endpoints,
       hasReady: (_pool, version) =>
         endpoints.some(({ announcement }) => announcement.softwareVersion === version),
-      getOccupancy: ({ running }) => running,
-      getUnreadTokens: () => 0,
-      applyReport() {},
-      recordStatements() {},
-      listLoads: () => [],
-      gatewayCounts: { responsive: 1, known: 1 },
-      close() {},
-    },
+    }),
   });
 }
 
