--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -14,7 +14,7 @@
 import type { OriginLookup } from './originLookup.js';
 import type { Quotas } from './quotas.js';
 import { createResponseWriter, type LocalReply, type ResponseWriter } from './responseWriter.js';
-import { decideContinuation, getStreamId, isTakeUp } from './streamContinuation.js';
+import { decideContinuation, getStreamId, isContinuation } from './streamContinuation.js';
 import type { Call, Dialect, RequestHead } from './types.js';
 import { createWorkEstimator, estimateWork } from './workEstimator.js';
 
@@ -145,7 +145,7 @@
     }
     const body = await tryReadBody(request, head, writer);
     if (body === undefined) return undefined;
-    const isContinued = isTakeUp(head, precheck.request.route);
+    const isContinued = isContinuation(head, precheck.request.route);
     const origin = isContinued ? await host.originLookup.tryFind(getStreamId(head)) : undefined;
     // The routing table may have changed in the meantime.
     const admission = admit(host.table, head, host.random());
--- a/src/gateway/streamContinuation.ts
+++ b/src/gateway/streamContinuation.ts
@@ -1,4 +1,4 @@
-/** Decides where a stream goes on that a caller takes up again after it broke off. */
+/** Decides where a stream goes on that broke off and that its caller continues by a new request. */
 
 import type { StreamOrigin } from '../generated/control.js';
 import type { Route } from '../routing/types.js';
@@ -23,8 +23,8 @@
   | { kind: 'possible'; pool: string; softwareVersion: string }
   | { kind: 'refused'; reply: LocalReply };
 
-/** Whether a request takes up a stream that has begun in response to an earlier request. */
-export function isTakeUp(
+/** Whether a request continues a stream that has begun in response to an earlier request. */
+export function isContinuation(
   { resumeAfter, resumedCallId }: Pick<RequestHead, 'resumeAfter' | 'resumedCallId'>,
   { kind, isResumable }: Pick<Route, 'kind' | 'isResumable'>,
 ): boolean {
@@ -32,7 +32,10 @@
   return resumeAfter !== undefined || resumedCallId !== undefined;
 }
 
-/** Returns the id of the request that began the stream that a request takes up. */
+/**
+ * Returns the id of the request that began the stream that a request continues. A caller that does
+ * not name it gets no stream: nothing is known under the new id.
+ */
 export function getStreamId({
   id,
   resumedCallId,
--- a/test/unit/gateway/streamContinuation.test.ts
+++ b/test/unit/gateway/streamContinuation.test.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { decideContinuation, isTakeUp } from '../../../src/gateway/streamContinuation.js';
+import { decideContinuation, isContinuation } from '../../../src/gateway/streamContinuation.js';
 import { createTestRoute } from '../../fixtures/gatewayCall.js';
 import { createTestOrigin } from '../../fixtures/streamOrigin.js';
 
@@ -34,8 +34,8 @@
 
   it('is told from new streams, and from requests of routes that are not resumable', () => {
     const taken = { resumeAfter: '3', resumedCallId: 'a' };
-    assert.ok(isTakeUp(taken, split));
-    assert.ok(!isTakeUp({ resumeAfter: undefined, resumedCallId: undefined }, split));
-    assert.ok(!isTakeUp(taken, createTestRoute({ isResumable: false })));
+    assert.ok(isContinuation(taken, split));
+    assert.ok(!isContinuation({ resumeAfter: undefined, resumedCallId: undefined }, split));
+    assert.ok(!isContinuation(taken, createTestRoute({ isResumable: false })));
   });
 });
