--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers: parses and admits requests and starts a handler for each. */
 
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { setImmediate } from 'node:timers/promises';
 import polka from 'polka';
 import type { Clock } from '../common/clock.js';
 import { RaisedFailure } from '../common/failure.js';
@@ -27,6 +28,8 @@
 const SLOW_START_MS = 1_500;
 /** Retry delay during shutdown; short, since the caller's next connection reaches another gateway. */
 const SHUTDOWN_RETRY_AFTER_MS = 100;
+/** Turns of the event loop in which the end of a connection follows its request at the latest. */
+const TURNS_TO_NOTICE_CLOSE = 6;
 
 /** Dependencies of the server. */
 export interface CallServerHost {
@@ -111,7 +114,12 @@
     const call = await tryCreateCall(request, head, arrivedAt, writer);
     if (call === undefined) return;
     await pollClosedConnections();
-    if (!isClosed) handler = startCallHandler(host.handlerHost, call, writer);
+    if (isClosed || request.socket.readableEnded) {
+      logger.event('callerGone', { request: head.id, lagMs: Math.round(clock.now() - arrivedAt) });
+      response.destroy();
+      return;
+    }
+    handler = startCallHandler(host.handlerHost, call, writer);
   }
 
   /** Reads and admits a request; returns undefined if it has been refused. */
@@ -221,12 +229,10 @@
 }
 
 /**
- * Lets the event loop read from all sockets once more. If the gateway reads a request late, its
- * caller may have closed the connection right after sending it; the close is then noticed before
- * the request is sent to an endpoint.
+ * Lets the event loop read from sockets a few times more. If the gateway reads a request late, its
+ * caller may have closed the connection after sending it; the close is then noticed before the
+ * request is sent to an endpoint.
  */
-function pollClosedConnections(): Promise<void> {
-  return new Promise((resolve) => {
-    setImmediate(() => setImmediate(resolve));
-  });
+async function pollClosedConnections(): Promise<void> {
+  for (let turn = 0; turn < TURNS_TO_NOTICE_CLOSE; turn += 1) await setImmediate();
 }
