--- a/review/lib/faultyReplica.mjs
+++ b/review/lib/faultyReplica.mjs
@@ -7,6 +7,9 @@
 import { getFreePort, delay, HEARTBEAT_MS } from './deployment.mjs';
 import { sendHeartbeat } from './replica.mjs';
 
+/** Less than the length of a signature. */
+const MAX_VALUE_BYTES = 20;
+
 /**
  * Starts a replica. `plan` holds `id`, `service`, `capacity` and `workMs`; `chooseStatus` returns
  * the status of the next answer, and `isFaulty` whether bytes of
@@ -70,8 +73,9 @@
       const isPreceded = previous !== '' && isFaulty();
       if (isPreceded) {
         faultCount += 1;
-        // The second answer to the request before breaks off somewhere in its head.
-        const cut = 1 + Math.floor(Math.random() * previous.indexOf('\r\n\r\n'));
+        // The second answer to the request before breaks off within the value of a header.
+        const valueAt = previous.indexOf(': ', previous.indexOf('Signature')) + 2;
+        const cut = valueAt + 1 + Math.floor(Math.random() * MAX_VALUE_BYTES);
         record.add('bytes that are no response', {
           replica: plan.id,
           before: attempt,
