--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,105 +1,137 @@
-/** CONFIG: heartbeats of another writer cut all gateways off from new configurations. */
+/** LOST: a gateway that was told to stop accepts a request and cuts it off before it is answered. */
 
 import { performance } from 'node:perf_hooks';
-import {
-  CONTACT_MS,
-  CONVERGE_MS,
-  delay,
-  HEARTBEAT_MS,
-  HOST,
-  runCase,
-  send,
-  startDeployment,
-  waitFor,
-} from '../lib/deployment.mjs';
-import { sendHeartbeat, startReplica } from '../lib/replica.mjs';
+import { Agent, request as sendRequest } from 'node:http';
+import { CONTACT_MS, delay, HOST, runCase, startDeployment } from '../lib/deployment.mjs';
+import { startReplica } from '../lib/replica.mjs';
 import { createRoute, createService, createTable } from '../lib/table.mjs';
 
-const PROBE_COUNT = 5;
+const CLIENTS = 8;
+/** The first requests of the clients last from before the SIGTERM until 4.4 s after it. */
+const STREAM = { eventCount: 50, intervalMs: 100 };
+const LEAD_MS = 700;
+/** Time between the first requests of two clients. */
+const STAGGER_MS = 37;
+/** The second requests: 80 tokens of output in events of 6 tokens, each within the route's target. */
+const SHORT_STREAM = { eventCount: 14, intervalMs: 270 };
+const SHORT_TIMEOUT_MS = 8_000;
 
 await runCase(import.meta.dirname, async ({ record, hasTrouble, onEnd }) => {
   const deployment = await startDeployment(record, { gatewayCount: 2 });
   onEnd(deployment.stop);
   deployment.startAll();
-  const services = [createService('desk')];
-  await deployment.declare(
-    createTable(1, [createRoute('old', 'desk'), createRoute('dropped', 'desk')], services),
-  );
+  const backend = {
+    capacity: 10,
+    kvCapacity: 600_000,
+    kvTokenBytes: 131_072,
+    models: [{ name: 'm' }],
+  };
+  const routes = [
+    createRoute('explain', 'engine', {
+      kind: 'streaming',
+      timeoutMs: 12_000,
+      itlTargetMs: 400,
+      sticky: true,
+      attempts: 1,
+    }),
+    createRoute('label', 'labels', {
+      kind: 'streaming',
+      timeoutMs: SHORT_TIMEOUT_MS,
+      itlTargetMs: 300,
+      sticky: true,
+      attempts: 1,
+    }),
+  ];
+  const services = [createService('engine', { backend }), createService('labels', { backend })];
+  await deployment.declare(createTable(1, routes, services));
+  const plans = [
+    { id: 'i-1', service: 'engine', capacity: 10, workMs: 30, stream: STREAM },
+    { id: 'i-2', service: 'engine', capacity: 10, workMs: 30, stream: STREAM },
+    { id: 'i-3', service: 'labels', capacity: 10, workMs: 200, stream: SHORT_STREAM },
+    { id: 'i-4', service: 'labels', capacity: 10, workMs: 200, stream: SHORT_STREAM },
+  ];
   const replicas = [];
-  for (const id of ['i-1', 'i-2', 'i-3']) {
-    const plan = { id, service: 'desk', capacity: 6, workMs: 20 };
+  for (const plan of plans) {
     const replica = await startReplica(record, deployment.controlAddresses(), plan);
     onEnd(replica.close);
     replicas.push(replica);
   }
   await deployment.waitReady();
-  for (const gateway of deployment.gateways) {
-    await waitFor('calls to be served', async () => (await call(gateway, 'old')) === 200);
-  }
-  let isOver = false;
-  onEnd(() => {
-    isOver = true;
-  });
-  if (hasTrouble) void announceForeign();
-  // Longer than the contact time, so that every machine is in touch.
   await delay(2 * CONTACT_MS);
-  await deployment.declare(
-    createTable(2, [createRoute('old', 'desk'), createRoute('new', 'desk')], services),
-  );
-  const acknowledgedAt = performance.now();
-  await delay(CONVERGE_MS + 200);
-  let brokenCount = 0;
-  for (let round = 0; round < PROBE_COUNT; round += 1) {
-    for (const gateway of deployment.gateways) {
-      const status = await call(gateway, 'new');
-      const sinceMs = Math.round(performance.now() - acknowledgedAt);
-      record.add('request on the new route', { gateway, status, sinceMs });
-      if (status === 404) brokenCount += 1;
-      const droppedStatus = await call(gateway, 'dropped');
-      record.add('request on the dropped route', { gateway, status: droppedStatus, sinceMs });
-      if (droppedStatus === 200) brokenCount += 1;
-    }
-    await delay(1_000);
-  }
-  for (const keeper of deployment.keepers) {
-    record.add('configuration read', { keeper, version: await deployment.readVersion(keeper) });
-  }
-  record.add('requests handled as only version 1 allows', { count: brokenCount });
-  return brokenCount > 0;
+  let stoppedAt = performance.now() + LEAD_MS;
+  const clients = Array.from({ length: CLIENTS }, (_unused, index) => runClient(index));
+  await delay(LEAD_MS);
+  stoppedAt = performance.now();
+  if (hasTrouble) deployment.signal('edge-1', 'SIGTERM');
+  const labels = await Promise.all(clients);
+  const ran = new Set(replicas.flatMap(({ runs }) => runs.map(({ attemptId }) => attemptId)));
+  const lost = labels.filter(({ attempt, end }) => end === 'broken' && ran.has(attempt));
+  const answered = labels.filter(({ end, status }) => end === 'complete' && status === 200);
+  const refused = labels.filter(({ end, status }) => end === 'complete' && status === 503);
+  record.add('requests after the SIGTERM', {
+    all: labels.length,
+    answered: answered.length,
+    refused: refused.length,
+    lost: lost.length,
+  });
+  return lost.length > 0;
 
-  /** Another writer announces something else than a replica, about as often as a replica does. */
-  async function announceForeign() {
-    let next = 0;
-    while (!isOver) {
-      const address = deployment.controlAddresses()[next % 3];
-      next += 1;
-      const body = JSON.stringify({
-        service: 'mailer',
-        address: '127.0.0.1:9',
-        zone: 'zone-1',
-        version: '7',
-        capacity: 1,
-        state: 'ready',
-        // The Unix time at which the warm-up ends, where replicas state a duration.
-        warmupLeftMs: Date.now() + 5_000,
-        seq: next,
-        born: Date.now() - 60_000,
-      });
-      const { status } = await sendHeartbeat(address, 'mailer-1', body);
-      record.add('heartbeat of another writer', { address, status });
-      await delay(HEARTBEAT_MS);
-    }
+  /** Receives a long stream, and then asks for a short one on the same connection. */
+  async function runClient(index) {
+    await delay(index * STAGGER_MS);
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const streamed = await sendKept(agent, `s-${index}`, {
+      path: '/explain/1',
+      waitMs: 12_000,
+      headers: { 'Turmericrack-Model': 'm', 'Turmericrack-Token-Usage': '700,300' },
+    });
+    const sentMs = Math.round(performance.now() - stoppedAt);
+    const label = await sendKept(agent, `l-${index}`, {
+      path: '/label/1',
+      waitMs: SHORT_TIMEOUT_MS,
+      headers: { 'Turmericrack-Model': 'm', 'Turmericrack-Token-Usage': '1460,80' },
+    });
+    const endMs = Math.round(performance.now() - stoppedAt);
+    record.add('answer', { attempt: streamed.attempt, status: streamed.status, end: streamed.end });
+    record.add('answer', { ...label, sentMs, endMs });
+    agent.destroy();
+    return label;
   }
 
-  async function call(gateway, route) {
-    const id = Math.random().toString(16).slice(2);
-    const answer = await send({
-      address: deployment.at(gateway, 'http'),
-      path: `/${route}/1`,
-      headers: { Host: HOST, 'Turmericrack-Attempt-Id': id, 'Turmericrack-Deadline-Ms': '1500' },
-      timeoutMs: 1_600,
+  function sendKept(agent, attempt, { path, waitMs, headers }) {
+    const [host, port] = deployment.at('edge-1', 'http').split(':');
+    const allHeaders = {
+      Host: HOST,
+      'Turmericrack-Attempt-Id': attempt,
+      'Turmericrack-Deadline-Ms': String(waitMs),
+      'Content-Length': '2',
+      ...headers,
+    };
+    const options = {
+      agent,
+      host,
+      port,
+      method: 'POST',
+      path,
+      headers: allHeaders,
+      timeout: waitMs + 500,
+    };
+    return new Promise((done) => {
+      const outgoing = sendRequest(options, (incoming) => {
+        const { statusCode: status } = incoming;
+        incoming.resume();
+        incoming.on('end', () =>
+          done({ attempt, status, end: 'complete', isKept: outgoing.reusedSocket }),
+        );
+        incoming.on('error', () =>
+          done({ attempt, status, end: 'broken', isKept: outgoing.reusedSocket }),
+        );
+      });
+      outgoing.on('timeout', () => outgoing.destroy());
+      outgoing.on('error', () =>
+        done({ attempt, status: 0, end: 'broken', isKept: outgoing.reusedSocket }),
+      );
+      outgoing.end('{}');
     });
-    record.add('answer', { gateway, route, attempt: id, status: answer.status, end: answer.end });
-    return answer.status;
   }
 });
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -126,22 +126,24 @@
   return run.split(' ');
 }
 
-/** Starts keepers and gateways; `gatewayCount` is the number of gateways. */
-export async function startDeployment(record, { gatewayCount = 2, settings = {} } = {}) {
+/**
+ * Starts keepers and gateways; `gatewayCount` is the number of gateways. With `hasSpare` there is a
+ * fourth keeper, which is not started with the others and knows them from its settings.
+ */
+export async function startDeployment(record, { gatewayCount = 2, hasSpare = false } = {}) {
   const folder = mkdtempSync(join(tmpdir(), 'review-'));
-  const keepers = ['core-1', 'core-2', 'core-3'];
+  const seeds = ['core-1', 'core-2', 'core-3'];
+  const keepers = hasSpare ? [...seeds, 'core-4'] : seeds;
   const gateways = Array.from({ length: gatewayCount }, (_unused, index) => `edge-${index + 1}`);
   const addresses = new Map();
   const processes = new Map();
-  const bootstrapped = new Set();
+  const bootstrapped = new Set(['core-4']);
   for (const id of [...keepers, ...gateways]) {
     for (const name of ['peer', 'operator', 'http', 'readiness', 'metrics']) {
       addresses.set(`${id} ${name}`, `127.0.0.1:${await getFreePort()}`);
     }
   }
   const at = (id, name) => addresses.get(`${id} ${name}`);
-  /** Connections that lead through a proxy: [id of the process, announced, address of the proxy]. */
-  const routes = settings.routes ?? [];
 
   function writeSettings(id) {
     const lines = [
@@ -150,15 +152,10 @@
       'deployment = "turmericrack"',
       `failureDomain = "zone-${id.at(-1)}"`,
       'region = "region"',
-      `keepers = [${keepers.map((keeper) => `"${at(keeper, 'peer')}"`).join(', ')}]`,
+      `keepers = [${seeds.map((keeper) => `"${at(keeper, 'peer')}"`).join(', ')}]`,
       '[metrics]',
       `listen = "${at(id, 'metrics')}"`,
     ];
-    for (const [source, announced, connect] of routes) {
-      if (source === id) {
-        lines.push('[[route]]', `announced = "${announced}"`, `connect = "${connect}"`);
-      }
-    }
     if (keepers.includes(id)) {
       lines.push(
         '[keeper]',
@@ -178,7 +175,7 @@
         'retryRatio = 0.2',
         'retryBurst = 52',
         'retryWindowMs = 10000',
-        `quotaSlack = ${settings.quotaSlack ?? 140_000}`,
+        `quotaSlack = 140000`,
       );
     }
     bootstrapped.add(id);
@@ -229,7 +226,7 @@
     };
     let next = 0;
     await waitFor(`the acknowledgement of version ${table.version}`, async () => {
-      const address = at(keepers[next % keepers.length], 'http');
+      const address = at(seeds[next % seeds.length], 'http');
       next += 1;
       const path = '/turmericrack/config/replace';
       const answer = await send({ address, method: 'POST', path, headers, body });
@@ -240,6 +237,16 @@
     });
   }
 
+  /** Starts a keeper again that has lost its disk, after the time that its machine is down. */
+  async function loseDisk(id, downMs) {
+    signal(id, 'SIGKILL');
+    await processes.get(id).ended;
+    rmSync(join(folder, id), { recursive: true, force: true });
+    record.add('disk lost', { id });
+    await delay(downMs);
+    start(id);
+  }
+
   async function readVersion(keeper) {
     const answer = await send({ address: at(keeper, 'http'), path: '/turmericrack/config/read' });
     return answer.status === 200 ? JSON.parse(answer.body).version : undefined;
@@ -264,13 +271,14 @@
     gateways,
     at,
     start,
-    startAll: () => [...keepers, ...gateways].forEach(start),
+    startAll: () => [...seeds, ...gateways].forEach(start),
     signal,
     waitEnded: (id) => processes.get(id).ended,
     isReady,
     waitReady,
     declare,
     readVersion,
+    loseDisk,
     stop,
     controlAddresses: () => keepers.map((keeper) => at(keeper, 'http')),
   };
