--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,21 +1,29 @@
-/** MIXED: bytes of an earlier answer, late on a kept connection, change the status of the next one. */
+/** LOST: one heartbeat of another writer, whose address cannot be read, ends all gateways again and again. */
 
 import { performance } from 'node:perf_hooks';
-import { CONTACT_MS, delay, HOST, runCase, send, startDeployment } from '../lib/deployment.mjs';
-import { startFaultyReplica } from '../lib/faultyReplica.mjs';
+import { Agent, request as sendRequest } from 'node:http';
+import { CONTACT_MS, delay, HOST, runCase, startDeployment } from '../lib/deployment.mjs';
+import { sendHeartbeat, startReplica } from '../lib/replica.mjs';
 import { createRoute, createService, createTable } from '../lib/table.mjs';
 
-const LOAD_MS = 20_000;
-const REQUESTS_PER_TICK = 7;
-const TICK_MS = 20;
-/** Share of the answers that faulty replicas spoil. */
-const FAULT_SHARE = 0.03;
-/** Share of the requests that a replica answers with a failure of its own. */
-const FAILURE_SHARE = 0.14;
+const CLIENTS = 28;
+const LOAD_MS = 12_000;
+const RESTART_MS = 500;
+const WAIT_MS = 1_500;
+/** A client whose connection was refused tries again later. */
+const BACKOFF_MS = 500;
+/** Longest pause of a client between two requests. */
+const PAUSE_MS = 150;
+/** No port has this number. */
+const FOREIGN_ADDRESS = '127.0.0.1:80800';
 
 await runCase(import.meta.dirname, async ({ record, hasTrouble, onEnd }) => {
   const deployment = await startDeployment(record, { gatewayCount: 2 });
+  let isOver = false;
   onEnd(deployment.stop);
+  onEnd(() => {
+    isOver = true;
+  });
   deployment.startAll();
   const route = createRoute('issue', 'desk', {
     kind: 'non_idempotent',
@@ -24,78 +32,100 @@
   });
   await deployment.declare(createTable(1, [route], [createService('desk')]));
   const replicas = [];
-  for (const id of ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6']) {
-    // Half of the replicas are faulty.
-    const isFaulty = hasTrouble && replicas.length % 2 === 0;
-    const plan = { id, service: 'desk', capacity: 6, workMs: 40 };
-    const replica = await startFaultyReplica(record, deployment.controlAddresses(), plan, {
-      chooseStatus,
-      isFaulty: () => isFaulty && Math.random() < FAULT_SHARE,
-    });
+  for (const id of ['i-1', 'i-2', 'i-3']) {
+    const plan = { id, service: 'desk', capacity: 6, workMs: 300 };
+    const replica = await startReplica(record, deployment.controlAddresses(), plan);
     onEnd(replica.close);
     replicas.push(replica);
   }
   await deployment.waitReady();
+  const ends = new Map(deployment.gateways.map((id) => [id, 0]));
+  for (const id of deployment.gateways) void keepRunning(id);
   await delay(2 * CONTACT_MS);
-  const calls = [];
-  const end = performance.now() + LOAD_MS;
-  while (performance.now() < end) {
-    for (let count = 0; count < REQUESTS_PER_TICK; count += 1) calls.push(callOnce(calls.length));
-    await delay(TICK_MS);
+  const counts = { answered: 0, refused: 0, failed: 0, broken: 0, cut: [] };
+  const clients = Array.from({ length: CLIENTS }, (_unused, index) => runClient(index, counts));
+  await delay(2_000);
+  if (hasTrouble) await announceForeign();
+  await Promise.all(clients);
+  const ran = new Set(replicas.flatMap(({ runs }) => runs.map(({ attemptId }) => attemptId)));
+  const lost = counts.cut.filter((attempt) => ran.has(attempt));
+  record.add('requests', { ...counts, cut: counts.cut.length, lost: lost.length });
+  record.add('gateways that ended by themselves', Object.fromEntries(ends));
+  return lost.length > 3;
+
+  /** The platform starts a process that has ended again after a short delay. */
+  async function keepRunning(id) {
+    while (!isOver) {
+      await deployment.waitEnded(id);
+      if (isOver) return;
+      ends.set(id, ends.get(id) + 1);
+      await delay(RESTART_MS);
+      if (!isOver) deployment.start(id);
+    }
   }
-  const results = await Promise.all(calls);
-  const wrong = results.filter(({ isWrong }) => isWrong);
-  const falseSuccesses = results.filter(({ isFalseSuccess }) => isFalseSuccess);
-  const faults = replicas.reduce((sum, { faultCount }) => sum + faultCount, 0);
-  record.add('requests answered', {
-    all: results.length,
-    spoiled: faults,
-    wrong: wrong.length,
-    falseSuccesses: falseSuccesses.length,
-  });
-  return falseSuccesses.length > 0;
 
-  function chooseStatus() {
-    return Math.random() < FAILURE_SHARE ? 500 : 200;
+  async function announceForeign() {
+    const body = JSON.stringify({
+      service: 'desk',
+      address: FOREIGN_ADDRESS,
+      zone: 'zone-1',
+      version: 'v1',
+      capacity: 6,
+      state: 'ready',
+      warmupLeftMs: 0,
+      seq: 1,
+      born: Date.now(),
+    });
+    const [address] = deployment.controlAddresses();
+    const { status } = await sendHeartbeat(address, 'x-1', body);
+    record.add('heartbeat of another writer', { status, address: FOREIGN_ADDRESS });
   }
 
-  async function callOnce(number) {
-    const attempt = `9c41d07be2a3${number.toString(16).padStart(4, '0')}`;
-    const gateway = deployment.gateways[number % 2];
-    const answer = await send({
-      address: deployment.at(gateway, 'http'),
+  /** A client that sends one request after the other on kept connections. */
+  async function runClient(index, totals) {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const end = performance.now() + LOAD_MS;
+    for (let number = 0; performance.now() < end; number += 1) {
+      const gateway = deployment.gateways[(index + number) % 2];
+      const attempt = `${index}-${number}-${Math.random().toString(16).slice(2, 8)}`;
+      const answer = await sendKept(agent, gateway, attempt);
+      record.add('answer', { gateway, attempt, ...answer });
+      if (answer.end === 'complete' && answer.status === 200) totals.answered += 1;
+      else if (answer.end === 'complete' && answer.status === 503) totals.refused += 1;
+      else if (answer.end === 'complete') totals.failed += 1;
+      else if (answer.isKept) totals.cut.push(attempt);
+      else totals.broken += 1;
+      await delay(answer.end === 'complete' ? PAUSE_MS * Math.random() : BACKOFF_MS);
+    }
+    agent.destroy();
+  }
+
+  function sendKept(agent, gateway, attempt) {
+    const [host, port] = deployment.at(gateway, 'http').split(':');
+    const headers = {
+      Host: HOST,
+      'Turmericrack-Attempt-Id': attempt,
+      'Turmericrack-Deadline-Ms': String(WAIT_MS),
+      'Content-Length': '2',
+    };
+    const options = {
+      agent,
+      host,
+      port,
       method: 'POST',
       path: '/issue/1',
-      headers: {
-        Host: HOST,
-        'Turmericrack-Attempt-Id': attempt,
-        'Turmericrack-Deadline-Ms': '1500',
-        'Content-Length': '2',
-      },
-      body: '{}',
-      timeoutMs: 1_700,
-    });
-    const given = replicas.flatMap(({ answers }) => answers.get(attempt) ?? []);
-    const signature = answer.headers['turmericrack-response-signature'];
-    const isSuccess = answer.end === 'complete' && answer.status >= 200 && answer.status < 300;
-    const isFalseSuccess = isSuccess && !given.some(({ status }) => status === 200);
-    const isForeign = isSuccess && !given.some((one) => one.signature === signature);
-    const isWrong = isFalseSuccess || isForeign;
-    record.add('answer', {
-      attempt,
-      status: answer.status,
-      end: answer.end,
-      given: given.map(({ status }) => status).join(','),
-    });
-    if (isWrong) {
-      record.add('wrong answer', {
-        attempt,
-        status: answer.status,
-        statusOfReplica: given.map(({ status }) => status).join(','),
-        signature: JSON.stringify(signature),
-        body: JSON.stringify(answer.body),
+      headers,
+      timeout: WAIT_MS + 200,
+    };
+    return new Promise((done) => {
+      const outgoing = sendRequest(options, (incoming) => {
+        incoming.resume();
+        incoming.on('end', () => done({ status: incoming.statusCode, end: 'complete' }));
+        incoming.on('error', () => done({ status: incoming.statusCode, end: 'broken' }));
       });
-    }
-    return { isWrong, isFalseSuccess };
+      outgoing.on('timeout', () => outgoing.destroy());
+      outgoing.on('error', () => done({ status: 0, end: 'broken', isKept: outgoing.reusedSocket }));
+      outgoing.end('{}');
+    });
   }
 });
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -127,17 +127,18 @@
 }
 
 /**
- * Starts keepers and gateways; `gatewayCount` is the number of gateways. With `hasSpare` there is a
- * fourth keeper, which is not started with the others and knows them from its settings.
+ * Starts keepers and gateways; `gatewayCount` is the number of gateways. `spareCount`
+ * further keepers are not started with the first three, which they know from their settings.
  */
-export async function startDeployment(record, { gatewayCount = 2, hasSpare = false } = {}) {
+export async function startDeployment(record, { gatewayCount = 2, spareCount = 0 } = {}) {
   const folder = mkdtempSync(join(tmpdir(), 'review-'));
   const seeds = ['core-1', 'core-2', 'core-3'];
-  const keepers = hasSpare ? [...seeds, 'core-4'] : seeds;
+  const spares = ['core-4', 'core-5'].slice(0, spareCount);
+  const keepers = [...seeds, ...spares];
   const gateways = Array.from({ length: gatewayCount }, (_unused, index) => `edge-${index + 1}`);
   const addresses = new Map();
   const processes = new Map();
-  const bootstrapped = new Set(['core-4']);
+  const bootstrapped = new Set(spares);
   for (const id of [...keepers, ...gateways]) {
     for (const name of ['peer', 'operator', 'http', 'readiness', 'metrics']) {
       addresses.set(`${id} ${name}`, `127.0.0.1:${await getFreePort()}`);
