--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -301,6 +301,12 @@
     await record.close();
     process.exit(exitCode);
   };
+  for (const event of ['SIGINT', 'SIGTERM', 'uncaughtException']) {
+    process.once(event, (reason) => {
+      record.add('the case was interrupted', { reason });
+      void end();
+    });
+  }
   record.add('case started', { trouble: hasTrouble });
   try {
     const isBroken = await run({ record, hasTrouble, onEnd: (cleanup) => cleanups.push(cleanup) });
