--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -118,6 +118,8 @@
         onData: (chunk) => !isCurrent() || handleData(started, chunk),
         onEnd: () => isCurrent() && handleEnd(started),
         onFailure: (wasSent, reason) => isCurrent() && handleBroken(started, wasSent, reason),
+        onUnsendable: (reason) =>
+          isCurrent() && failAttempt(started, { kind: 'unsendable', reason }),
       },
     );
   }
--- a/src/gateway/endpointClient.ts
+++ b/src/gateway/endpointClient.ts
@@ -6,6 +6,8 @@
 import { splitAddress } from '../common/settings.js';
 
 const CONNECT_TIMEOUT_MS = 600;
+/** Code of undici's error for a request that it cannot write. */
+const INVALID_REQUEST_CODE = 'UND_ERR_INVALID_ARG';
 /** Idle time after which a connection is closed unless the endpoint states its own timeout. */
 const IDLE_TIMEOUT_MS = 4_000;
 /** How much earlier than the endpoint the gateway closes an idle connection. */
@@ -26,7 +28,7 @@
   body: Buffer | undefined;
 }
 
-/** Receives the response of one exchange. `onEnd` and `onFailure` are final. */
+/** Receives the response of one exchange. `onEnd`, `onFailure` and `onUnsendable` are final. */
 export interface ResponseHandler {
   onHead(status: number, rawHeaders: readonly Buffer[]): void;
   /** Returns false to pause the response until `resume`. */
@@ -34,6 +36,8 @@
   onEnd(): void;
   /** `wasSent` is false only if it is certain that no byte of the request was sent. */
   onFailure(wasSent: boolean, reason: string): void;
+  /** The request is no valid HTTP; nothing was sent, and the endpoint was not asked for anything. */
+  onUnsendable(reason: string): void;
 }
 
 /** A request in progress. */
@@ -166,7 +170,8 @@
           idle.push(connection);
           if (isOver) return;
           isOver = true;
-          handler.onFailure(controller !== undefined, toReason(error));
+          if (isInvalidRequest(error)) handler.onUnsendable(error.message);
+          else handler.onFailure(controller !== undefined, toReason(error));
         },
       },
     );
@@ -212,6 +217,10 @@
   return new DOMException('request aborted by the gateway', 'AbortError');
 }
 
+function isInvalidRequest(error: Error): boolean {
+  return (error as NodeJS.ErrnoException).code === INVALID_REQUEST_CODE;
+}
+
 function toReason(error: Error): string {
   const { code } = error as NodeJS.ErrnoException;
   return code ?? error.message;
--- a/src/gateway/retryPolicy.ts
+++ b/src/gateway/retryPolicy.ts
@@ -37,6 +37,8 @@
       return canSendUnrun(attempt)
         ? { kind: 'sendAgain', needsBudget: false }
         : getFinalStep(attempt);
+    case 'unsendable':
+      return getFinalStep(attempt);
     case 'notRun':
       return canSendUnrun(attempt)
         ? { kind: 'sendAgain', needsBudget: true }
@@ -74,6 +76,7 @@
 export function describeAttemptFailure(failure: AttemptFailure): string {
   switch (failure.kind) {
     case 'notSent':
+    case 'unsendable':
     case 'unknown':
       return `${failure.kind}: ${failure.reason}`;
     default:
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -107,6 +107,8 @@
 export type AttemptFailure =
   /** No byte of the request reached the endpoint. */
   | { kind: 'notSent'; reason: string }
+  /** The request cannot be sent to any endpoint, as it is no valid HTTP. */
+  | { kind: 'unsendable'; reason: string }
   /** The endpoint states that it did not run the request. */
   | { kind: 'notRun'; status: number }
   /** The request may have run. */
--- a/src/routing/checkTable.ts
+++ b/src/routing/checkTable.ts
@@ -11,7 +11,7 @@
     const problem = tryGetRouteProblem(route, pools, hostPrefixes);
     if (problem !== undefined) return problem;
   }
-  return tryGetKeyProblem(table.teams ?? []);
+  return tryGetTeamProblem(table.teams ?? []);
 }
 
 function tryGetRouteProblem(
@@ -32,7 +32,9 @@
   return route.timeoutMs > 0 ? undefined : { kind: 'noTimeout', route: name };
 }
 
-function tryGetKeyProblem(teams: readonly Team[]): TableProblem | undefined {
+function tryGetTeamProblem(teams: readonly Team[]): TableProblem | undefined {
+  const unsendable = teams.find(({ name }) => !isHeaderText(name));
+  if (unsendable !== undefined) return { kind: 'unsendableTeam', team: unsendable.name };
   const teamByKey = new Map<string, string>();
   for (const { name: team, keys } of teams) {
     for (const key of keys) {
@@ -46,6 +48,14 @@
   return undefined;
 }
 
+/**
+ * Whether a header can carry a text in UTF-8 without a change: it has no control characters, no
+ * unpaired surrogates and no space at its ends.
+ */
+function isHeaderText(text: string): boolean {
+  return !/[\p{Cc}\p{Surrogate}]/u.test(text) && !/^ | $/.test(text);
+}
+
 /** Describes a problem to operators in one line. */
 export function describeTableProblem(problem: TableProblem): string {
   switch (problem.kind) {
@@ -61,6 +71,8 @@
       return `route ${problem.route} has no timeout`;
     case 'sharedKey':
       return `teams ${problem.otherTeam} and ${problem.team} share a key`;
+    case 'unsendableTeam':
+      return `no header can carry the name of team ${JSON.stringify(problem.team)}`;
     default:
       return assertNever(problem);
   }
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -103,4 +103,5 @@
   | { kind: 'duplicateRoute'; host: string; prefix: string }
   | { kind: 'noWeight'; route: string }
   | { kind: 'noTimeout'; route: string }
-  | { kind: 'sharedKey'; team: string; otherTeam: string };
+  | { kind: 'sharedKey'; team: string; otherTeam: string }
+  | { kind: 'unsendableTeam'; team: string };
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -146,7 +146,9 @@
     cancel: handler.cancel,
     getAborted: () => aborted,
     place() {
-      placement?.onPlaced(createEndpoint(exchanges, recordAbort));
+      const endpoint = createEndpoint(exchanges, recordAbort);
+      placement?.onPlaced(endpoint);
+      return endpoint;
     },
     stall: () => watched?.onStalled('response did not start in time'),
   };
@@ -182,6 +184,16 @@
     assert.equal(second.maxQueueMs, (first?.maxQueueMs ?? 0) - 600);
   });
 
+  // It was sent to up to six endpoints, each of which was ejected for it.
+  it('refuses a request that cannot be sent, without blaming the endpoint', () => {
+    started = startHandler('idempotent', 2);
+    const { health } = started.place();
+    started.exchanges[0]?.onUnsendable('invalid header');
+    assert.deepEqual(started.statuses, [503]);
+    assert.equal(started.submitted.length, 1);
+    assert.equal(health.isEjected, false);
+  });
+
   it('retries a stalled attempt at another endpoint', () => {
     started = startHandler('idempotent', 2);
     started.place();
--- a/test/unit/gateway/endlessBytes.test.ts
+++ b/test/unit/gateway/endlessBytes.test.ts
@@ -56,6 +56,7 @@
           onHead() {},
           onData: () => true,
           onEnd: end,
+          onUnsendable: (reason) => assert.fail(reason),
           onFailure(_wasSent, reason) {
             seen.failure = reason;
             end();
--- a/test/unit/gateway/endpointClient.test.ts
+++ b/test/unit/gateway/endpointClient.test.ts
@@ -7,7 +7,8 @@
 
 type Outcome =
   | { kind: 'end'; status: number; body: string }
-  | { kind: 'failure'; wasSent: boolean; reason: string };
+  | { kind: 'failure'; wasSent: boolean; reason: string }
+  | { kind: 'unsendable' };
 
 interface RawEndpoint {
   address: string;
@@ -48,7 +49,11 @@
   }
 }
 
-function send(client: EndpointClient, sent?: Buffer): Promise<Outcome> {
+function send(
+  client: EndpointClient,
+  sent?: Buffer,
+  headers = ['Host', 'a.example'],
+): Promise<Outcome> {
   return new Promise((resolve) => {
     let status = 0;
     let body = '';
@@ -56,7 +61,7 @@
       {
         method: sent === undefined ? 'GET' : 'POST',
         target: '/',
-        headers: ['Host', 'a.example'],
+        headers,
         body: sent,
       },
       {
@@ -69,6 +74,7 @@
         },
         onEnd: () => resolve({ kind: 'end', status, body }),
         onFailure: (wasSent, reason) => resolve({ kind: 'failure', wasSent, reason }),
+        onUnsendable: () => resolve({ kind: 'unsendable' }),
       },
     );
   });
@@ -120,6 +126,20 @@
     assert.equal(outcome.kind === 'failure' && outcome.wasSent, false);
   });
 
+  // It was taken for a failure to connect, which ejected one endpoint after the other.
+  it('tells a request that no connection can carry from an endpoint that is not reachable', async () => {
+    const endpoint = await startRawEndpoint((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+    });
+    const client = createEndpointClient(endpoint.address);
+    const unsendable = await send(client, undefined, ['Host', 'a.example', 'Team', 'Плевен']);
+    const next = await send(client);
+    client.close();
+    endpoint.close();
+    assert.deepEqual(unsendable, { kind: 'unsendable' });
+    assert.deepEqual(next, { kind: 'end', status: 200, body: 'ok' });
+  });
+
   it('does not reuse a connection on which a second response follows', async () => {
     let connections = 0;
     const sockets = new Set<Socket>();
--- a/test/unit/platform/dialect.test.ts
+++ b/test/unit/platform/dialect.test.ts
@@ -1,7 +1,7 @@
 /** What the adapter reads from the headers of requests and responses. */
 
 import assert from 'node:assert/strict';
-import type { IncomingMessage } from 'node:http';
+import { validateHeaderValue, type IncomingMessage } from 'node:http';
 import { describe, it } from 'node:test';
 import { platformDialect } from '../../../platform/dialect.js';
 
@@ -61,6 +61,19 @@
     assert.deepEqual(head?.headers, ['resumes', 'call-0']);
   });
 
+  // No request of such a team could be sent, and each ejected the endpoints that it was tried at.
+  it('names the team to the endpoint in UTF-8, whatever letters the name has', () => {
+    const head = parse({});
+    assert.ok(head);
+    for (const team of ['hule930', 'Zürich', 'Плевен', '東京 🚆']) {
+      const attempt = { endpointId: 'a', team, remainingMs: 1, resumeAfter: undefined };
+      const headers = platformDialect.toEndpointHeaders(head, attempt);
+      const value = headers[headers.indexOf('turmericrack-tenant') + 1] ?? '';
+      validateHeaderValue('turmericrack-tenant', value);
+      assert.equal(Buffer.from(value, 'latin1').toString('utf8'), team);
+    }
+  });
+
   it('names no shared parts of a prompt that is all its own, or of a request without one', () => {
     assert.deepEqual(parse({ 'turmericrack-prefix-hash': 'e4402b7d:250' })?.sharedParts, []);
     assert.deepEqual(parse({})?.sharedParts, []);
--- a/test/unit/platform/tableCodec.test.ts
+++ b/test/unit/platform/tableCodec.test.ts
@@ -79,6 +79,10 @@
       [createConfiguration({}, createSplit([0, 0])), 'noWeight'],
       [createConfiguration({}, { timeoutMs: 0 }), 'noTimeout'],
       [createConfiguration({ tenants: sharedKey }), 'sharedKey'],
+      [createConfiguration({ tenants: [{ name: 'Плевен', apiKeys: ['k'] }] }), undefined],
+      [createConfiguration({ tenants: [{ name: 'a\nb', apiKeys: ['k'] }] }), 'unsendableTeam'],
+      [createConfiguration({ tenants: [{ name: 'a ', apiKeys: ['k'] }] }), 'unsendableTeam'],
+      [createConfiguration({ tenants: [{ name: '\ud800', apiKeys: ['k'] }] }), 'unsendableTeam'],
       [createConfiguration({ version: 'x' }), 'unreadable'],
       [createConfiguration({ routes: undefined }), 'unreadable'],
     ];
