--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -28,6 +28,9 @@
 /** Time for which activity seen here overrides an ejection reported by another gateway. */
 const RECENT_MS = 300;
 
+/** Largest number that a report can hold. */
+const MAX_REPORTED_TOKENS = 2 ** 32 - 1;
+
 /** One incarnation of an endpoint. */
 export interface Endpoint {
   readonly announcement: Announcement;
@@ -274,7 +277,13 @@
       const { isEjected: isOut } = health;
       const rateStatement = toRateStatement(rateLimit);
       if (running === 0 && !isOut && rateStatement === undefined) continue;
-      loads.push({ endpointId, running, isOut, unreadTokens, rateStatement });
+      loads.push({
+        endpointId,
+        running,
+        isOut,
+        unreadTokens: Math.min(unreadTokens, MAX_REPORTED_TOKENS),
+        rateStatement,
+      });
     }
     return loads;
   }
--- a/test/unit/platform/dialect.test.ts
+++ b/test/unit/platform/dialect.test.ts
@@ -61,6 +61,16 @@
     assert.deepEqual(head?.headers, ['resumes', 'call-0']);
   });
 
+  // Such counts cannot be reported to the keepers, or would add to a team's quota.
+  it('ignores token counts that are no whole numbers of a possible size', () => {
+    const read = (value: string) => parse({ 'turmericrack-token-usage': value })?.tokens;
+    assert.deepEqual(read('1460,80'), { prompt: 1_460, output: 80 });
+    assert.deepEqual(read('0, 80'), { prompt: 0, output: 80 });
+    for (const value of ['1e12,80', '-5,80', '1460,-80', '1.5,80', '1e999,1', '5', 'x,y', '']) {
+      assert.equal(read(value), undefined, value);
+    }
+  });
+
   // No request of such a team could be sent, and each ejected the endpoints that it was tried at.
   it('names the team to the endpoint in UTF-8, whatever letters the name has', () => {
     const head = parse({});
