Begin nothing on a stopping gateway that may outlast it

Cause: whether a request still fits was estimated, 1.5 s and 12 ms for each output token. Nothing in a request says how long it runs; only its deadline bounds it. The question was asked once, before the body was read, and what waited or ran at the end lost its connection without an answer.

Change: src/gateway/drain.ts decides by deadlines, from the moment at which the load balancer has had the time to choose other gateways. It is asked before the body is read, when the body is complete, and before a request that has not run is sent to an endpoint. At the end, what has not run is refused and what may have run gets 502; only a response that has begun breaks off. All connections are closed in the turn of the event loop in which none is in use, so that no request is read that nothing would serve.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -15,6 +15,7 @@
 import { startCallServer } from '../gateway/callServer.js';
 import { createCrashDetector } from '../gateway/crashDetector.js';
 import { createCrashSuspects } from '../gateway/crashSuspects.js';
+import { createDrain } from '../gateway/drain.js';
 import { createEndpointTracker } from '../gateway/endpointTracker.js';
 import { createOriginLookup } from '../gateway/originLookup.js';
 import { createQuotas } from '../gateway/quotas.js';
@@ -32,12 +33,10 @@
 const POLL_INTERVAL_MS = 50;
 /** Time without an update from any keeper after which no reports of other gateways are expected. */
 const ISOLATION_TIMEOUT_MS = 1_000;
-/** Time that a load balancer takes to stop opening connections to a gateway that is not ready. */
-const BALANCER_LAG_MS = 2_500;
-/** Time after the start of a shutdown in which all new requests are still accepted. */
-const ACCEPT_WHILE_STOPPING_MS = 2_500;
-/** Part of the drain limit that is reserved for closing connections and servers. */
+/** Part of the drain limit that is reserved for the last responses and closing connections. */
 const STOP_MARGIN_MS = 300;
+/** Time for writing the last responses. */
+const LAST_RESPONSES_MS = 150;
 const DEFAULT_RETRY_RATIO = 0.1;
 const DEFAULT_RETRY_BURST = 30;
 const DEFAULT_RETRY_WINDOW_MS = 10_000;
@@ -52,7 +51,7 @@
 ): Promise<RunningProcess> {
   const { gateway } = settings;
   const now = (): number => clock.now();
-  let stoppingSince: number | undefined;
+  const drain = createDrain(now, gateway.drainLimitMs - STOP_MARGIN_MS);
   let reportedReady = false;
   let limits: CallerLimits | undefined;
   const registry = createEndpointRegistry();
@@ -152,14 +151,14 @@
       stallDetector,
       crashDetector,
       crashSuspects,
+      drain,
       recordStreamOrigin(origin) {
         streamOrigins.record(origin);
         feed.sendOriginsSoon();
       },
       onEnd: recordCallEnd,
     },
-    isStopping: () => stoppingSince !== undefined,
-    getRemainingMs,
+    drain,
     onRefused: (status) => metrics.count('gatewayRefusals', 1, { status: String(status) }),
   });
   const readiness = polka();
@@ -172,7 +171,7 @@
   return { stop };
 
   function isReady(): boolean {
-    const ready = tableView.isUsable && stoppingSince === undefined;
+    const ready = tableView.isUsable && !drain.isStarted;
     if (ready !== reportedReady) {
       reportedReady = ready;
       const revision = tableView.index?.table.revision ?? 0;
@@ -181,13 +180,6 @@
     return ready;
   }
 
-  function getRemainingMs(): number {
-    if (stoppingSince === undefined) return Number.POSITIVE_INFINITY;
-    const stoppingMs = now() - stoppingSince;
-    if (stoppingMs < ACCEPT_WHILE_STOPPING_MS) return Number.POSITIVE_INFINITY;
-    return gateway.drainLimitMs - STOP_MARGIN_MS - stoppingMs;
-  }
-
   function mergeAnnouncement(announcement: Announcement): void {
     const outcome = registry.merge(announcement);
     if (outcome.kind !== 'refused') return;
@@ -249,20 +241,24 @@
   }
 
   async function stop(): Promise<void> {
-    const startedAt = clock.now();
-    stoppingSince = startedAt;
-    const endAt = startedAt + gateway.drainLimitMs - STOP_MARGIN_MS;
-    while (clock.now() < endAt) {
-      const isBalancerLagOver = clock.now() - startedAt > BALANCER_LAG_MS;
-      if (isBalancerLagOver) callServer.closeIdle();
-      if (isBalancerLagOver && callServer.openCount === 0) break;
-      await delay(POLL_INTERVAL_MS);
-    }
+    drain.start();
+    await pollUntil(drain.endAt, () => {
+      if (drain.isBalancerLagOver) callServer.closeIdle();
+      return drain.isBalancerLagOver && callServer.openCount === 0;
+    });
+    callServer.endCalls();
+    await pollUntil(now() + LAST_RESPONSES_MS, () => callServer.openCount === 0);
+    // No request may be read any more from here on, as nothing would serve it.
+    callServer.close();
     feed.close();
     scheduler.close();
     stallDetector.close();
-    void callServer.close();
     void closeServer(readiness.server);
     endpoints.close();
   }
+
+  /** Returns once `isDone` or at `endAt`, without letting any other task run in between. */
+  async function pollUntil(endAt: number, isDone: () => boolean): Promise<void> {
+    while (!isDone() && now() < endAt) await delay(POLL_INTERVAL_MS);
+  }
 }
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -9,6 +9,7 @@
 import { createAttempt, type Attempt } from './attempt.js';
 import { createCallProgress, type CallSummary } from './callProgress.js';
 import type { CrashDetector } from './crashDetector.js';
+import { stoppingReply, type Drain } from './drain.js';
 import { suspectReply, type CrashSuspects } from './crashSuspects.js';
 import type { Endpoint, EndpointTracker } from './endpointTracker.js';
 import { createSplitter } from './eventSplitter.js';
@@ -39,6 +40,7 @@
   stallDetector: StallDetector;
   crashDetector: CrashDetector;
   crashSuspects: CrashSuspects;
+  drain: Pick<Drain, 'mayBegin'>;
   /** Receives where streams of this gateway begin. */
   recordStreamOrigin(origin: StreamOrigin): void;
   /** Called once when the call has ended. */
@@ -51,6 +53,8 @@
   cancel(): void;
   /** Called when the caller's connection accepts data again. */
   resume(): void;
+  /** Ends the call because the gateway stops now. */
+  stop(): void;
 }
 
 /** Starts handling a call. */
@@ -84,6 +88,11 @@
       if (!isOver) finish('cancelled', 0, 'the caller closed the connection');
     },
     resume: () => current?.exchange?.resume(),
+    stop() {
+      if (isOver) return;
+      if (current === undefined) refuseWith(stoppingReply);
+      else endInFailure('the gateway stopped');
+    },
   };
 
   function send(endpoint: Endpoint): void {
@@ -96,6 +105,11 @@
       refuseWith(suspectReply);
       return;
     }
+    if (progress.runCount === 0 && !host.drain.mayBegin(call.deadline)) {
+      releaseSlot(endpoint);
+      refuseWith(stoppingReply);
+      return;
+    }
     const { endpointId } = endpoint.announcement;
     progress.recordAttempt(endpoint.announcement);
     excluded.add(endpointId);
--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -5,12 +5,13 @@
 import polka from 'polka';
 import type { Clock } from '../common/clock.js';
 import { RaisedFailure } from '../common/failure.js';
-import { closeServer, hasBody, listenOn, readBody } from '../common/httpServer.js';
+import { hasBody, listenOn, readBody } from '../common/httpServer.js';
 import type { Logger } from '../common/logging.js';
-import type { CallerLimits } from '../routing/types.js';
-import { admit, consumeQuota, type TableState } from './callAdmission.js';
+import type { CallerLimits, Route } from '../routing/types.js';
+import { admit, consumeQuota, type Admission, type TableState } from './callAdmission.js';
 import { suspectReply } from './crashSuspects.js';
 import { startCallHandler, type CallHandler, type CallHandlerHost } from './callHandler.js';
+import { stoppingReply, type Drain } from './drain.js';
 import type { OriginLookup } from './originLookup.js';
 import type { Quotas } from './quotas.js';
 import { createResponseWriter, type LocalReply, type ResponseWriter } from './responseWriter.js';
@@ -22,12 +23,6 @@
 /** More than any routing table allows; the limit that the table states is not checked here. */
 const MAX_HEADER_BYTES = 64 * 1024;
 const DEFAULT_WAIT_MS = 30_000;
-/** Time per output token at a slow engine. */
-const SLOW_TOKEN_MS = 12;
-/** Time that any request may need in addition to its output tokens. */
-const SLOW_START_MS = 1_500;
-/** Retry delay during shutdown; short, since the caller's next connection reaches another gateway. */
-const SHUTDOWN_RETRY_AFTER_MS = 100;
 /** Turns of the event loop in which the end of a connection follows its request at the latest. */
 const TURNS_TO_NOTICE_CLOSE = 6;
 
@@ -45,10 +40,8 @@
   quotas: Quotas;
   originLookup: OriginLookup;
   handlerHost: CallHandlerHost;
-  /** Whether connections are to be closed after their next response. */
-  isStopping(): boolean;
-  /** Time left for new requests, in milliseconds; infinite unless the gateway is stopping. */
-  getRemainingMs(): number;
+  /** Connections are closed after their next response once it has started. */
+  drain: Pick<Drain, 'isStarted' | 'mayBegin'>;
   onRefused(status: number): void;
 }
 
@@ -58,12 +51,16 @@
   readonly openCount: number;
   /** Closes connections without a request in progress. */
   closeIdle(): void;
-  close(): Promise<void>;
+  /** Ends all requests in progress: those that have not run are refused. */
+  endCalls(): void;
+  /** Stops accepting connections and closes all that are open. */
+  close(): void;
 }
 
 export async function startCallServer(host: CallServerHost): Promise<CallServer> {
   const { clock, logger, dialect } = host;
   const estimator = createWorkEstimator();
+  const handlers = new Set<CallHandler>();
   let openCount = 0;
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
@@ -80,7 +77,13 @@
       return openCount;
     },
     closeIdle: () => server.closeIdleConnections(),
-    close: () => closeServer(server),
+    endCalls() {
+      for (const handler of handlers) handler.stop();
+    },
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
   };
 
   function applyLimits(): void {
@@ -98,19 +101,20 @@
     response.on('close', () => {
       openCount -= 1;
       isClosed = true;
-      handler?.cancel();
+      if (handler === undefined) return;
+      handlers.delete(handler);
+      handler.cancel();
     });
-    const writer = createResponseWriter(response, host.isStopping, () => handler?.resume());
+    const writer = createResponseWriter(
+      response,
+      () => host.drain.isStarted,
+      () => handler?.resume(),
+    );
     const head = dialect.tryParseRequest(request);
     if (head === undefined) {
       refuse(writer, request, undefined, { status: 400, reason: 'incomplete request' });
       return;
     }
-    if (estimateMaxDurationMs(head) > host.getRemainingMs()) {
-      const retryAfterMs = SHUTDOWN_RETRY_AFTER_MS;
-      refuse(writer, request, head, { status: 503, reason: 'shutting down', retryAfterMs });
-      return;
-    }
     await pollClosedConnections();
     if (isCallerGone()) {
       endAbandoned(head);
@@ -118,8 +122,12 @@
     }
     const call = await tryCreateCall(request, head, arrivedAt, writer);
     if (call === undefined) return;
-    if (isCallerGone()) endAbandoned(head);
-    else handler = startCallHandler(host.handlerHost, call, writer);
+    if (isCallerGone()) {
+      endAbandoned(head);
+      return;
+    }
+    handler = startCallHandler(host.handlerHost, call, writer);
+    handlers.add(handler);
 
     function isCallerGone(): boolean {
       return isClosed || request.socket.readableEnded;
@@ -138,7 +146,7 @@
     arrivedAt: number,
     writer: ResponseWriter,
   ): Promise<Call | undefined> {
-    const precheck = admit(host.table, head, host.random());
+    const precheck = admitUntilStopped(head, arrivedAt);
     if (precheck.kind === 'refused') {
       refuse(writer, request, head, precheck.reply);
       return undefined;
@@ -147,8 +155,8 @@
     if (body === undefined) return undefined;
     const isContinued = isContinuation(head, precheck.request.route);
     const origin = isContinued ? await host.originLookup.tryFind(getStreamId(head)) : undefined;
-    // The routing table may have changed in the meantime.
-    const admission = admit(host.table, head, host.random());
+    // The routing table may have changed in the meantime, and the gateway may have been told to stop.
+    const admission = admitUntilStopped(head, arrivedAt);
     if (admission.kind === 'refused') {
       refuse(writer, request, head, admission.reply);
       return undefined;
@@ -170,7 +178,6 @@
       return undefined;
     }
     host.handlerHost.retryBudget.recordRequest(pool);
-    const waitMs = Math.min(head.waitMs ?? DEFAULT_WAIT_MS, route.timeoutMs);
     return {
       head,
       route,
@@ -182,10 +189,18 @@
       relativeWork: estimator.recordWork(pool, estimateWork(head)),
       waitedMs: estimator.estimateWaitedMs(route, head.waitMs),
       arrivedAt,
-      deadline: arrivedAt + waitMs,
+      deadline: getDeadline(head, route, arrivedAt),
     };
   }
 
+  /** Admits a request that the routing table allows and that ends before the gateway does. */
+  function admitUntilStopped(head: RequestHead, arrivedAt: number): Admission {
+    const admission = admit(host.table, head, host.random());
+    if (admission.kind === 'refused') return admission;
+    const deadline = getDeadline(head, admission.request.route, arrivedAt);
+    return host.drain.mayBegin(deadline) ? admission : { kind: 'refused', reply: stoppingReply };
+  }
+
   async function tryReadBody(
     request: IncomingMessage,
     head: RequestHead,
@@ -232,9 +247,9 @@
   }
 }
 
-/** Estimates how long a request may take at a slow endpoint, in milliseconds. */
-function estimateMaxDurationMs({ tokens }: RequestHead): number {
-  return SLOW_START_MS + (tokens?.output ?? 0) * SLOW_TOKEN_MS;
+/** Returns the monotonic time at which a request ends at the latest, in milliseconds. */
+function getDeadline({ waitMs }: RequestHead, { timeoutMs }: Route, arrivedAt: number): number {
+  return arrivedAt + Math.min(waitMs ?? DEFAULT_WAIT_MS, timeoutMs);
 }
 
 /**
--- /dev/null
+++ b/test/faults/stopping.test.ts
@@ -0,0 +1,162 @@
+/** What callers with open connections observe while a gateway stops gracefully. */
+
+import assert from 'node:assert/strict';
+import { connect } from 'node:net';
+import { after, before, describe, it } from 'node:test';
+import { Client } from 'undici';
+import { delay, waitFor } from '../fixtures/deployment.js';
+import {
+  createGatewayDeployment,
+  createTableBody,
+  type GatewayDeployment,
+  type TableBody,
+} from '../fixtures/gatewayDeployment.js';
+
+const CALLER_COUNT = 8;
+const STAGGER_MS = 37;
+/** Streams that begin before the gateway is told to stop, and end 4 s later. */
+const LONG_STREAM = { eventCount: 45, intervalMs: 100 };
+const LEAD_MS = 500;
+/** Streams that a caller asks for as soon as its first one has ended. */
+const SHORT_STREAM = { eventCount: 15, intervalMs: 270 };
+const WAIT_MS = 8_000;
+/** Time after the signal at which a late body is complete. */
+const LATE_BODY_MS = 4_000;
+
+function createStreamTableBody(): TableBody {
+  const table = createTableBody(1);
+  const createRoute = (name: string) => ({
+    name,
+    host: 'a.example',
+    pathPrefix: `/${name}/`,
+    kind: 'streaming',
+    timeoutMs: 12_000,
+    sloMs: 500,
+    priority: 1,
+    service: name,
+    attempts: 1,
+    public: true,
+    resumable: false,
+  });
+  const createService = (name: string) => ({
+    name,
+    healthPath: '/healthz',
+    maxConns: 200,
+    protocol: 'h1',
+    tls: false,
+  });
+  return {
+    ...table,
+    routes: [...(table.routes as object[]), createRoute('long'), createRoute('short')],
+    services: [...(table.services as object[]), createService('long'), createService('short')],
+  };
+}
+
+describe('a stopping gateway', () => {
+  let deployment: GatewayDeployment;
+
+  before(async () => {
+    const plan = { slots: 2 * CALLER_COUNT, workMs: 30 };
+    deployment = await createGatewayDeployment([
+      { ...plan, id: 'desk-a', pool: 'desk' },
+      { ...plan, id: 'long-a', pool: 'long', stream: LONG_STREAM },
+      { ...plan, id: 'short-a', pool: 'short', stream: SHORT_STREAM },
+    ]);
+    assert.equal(await deployment.declare(createStreamTableBody()), 200);
+    await deployment.waitServing();
+  });
+
+  after(() => deployment.stop());
+
+  /** Sends one request; resolves with its status, or with `cut` if the connection ended too early. */
+  async function send(client: Client, path: string, id: string): Promise<number | 'cut'> {
+    try {
+      const response = await client.request({
+        method: 'GET',
+        path,
+        headers: {
+          host: 'a.example',
+          'turmericrack-attempt-id': id,
+          'turmericrack-deadline-ms': String(WAIT_MS),
+          'turmericrack-token-usage': '700,80',
+        },
+      });
+      await response.body.text();
+      return response.statusCode;
+    } catch {
+      return 'cut';
+    }
+  }
+
+  /** Sends a request whose body is complete only `LATE_BODY_MS` after `stoppedAt`; returns the answer. */
+  async function sendLateBody(stoppedAt: Promise<number>): Promise<string> {
+    const [host, port] = deployment.getGatewayAddress(0).split(':');
+    const socket = connect(Number(port), host);
+    let answer = '';
+    socket.setEncoding('latin1');
+    socket.on('data', (text: string) => {
+      answer += text;
+    });
+    socket.on('error', () => {});
+    const closed = new Promise((resolve) => {
+      socket.on('close', resolve);
+    });
+    const head = 'POST /long/1 HTTP/1.1\r\nHost: a.example\r\nTurmericrack-Attempt-Id: late\r\n';
+    socket.write(`${head}Content-Length: 2\r\n\r\n{`);
+    await delay((await stoppedAt) + LATE_BODY_MS - performance.now());
+    socket.write('}');
+    await closed;
+    return answer;
+  }
+
+  // It took requests for as long as an estimate from their output tokens ended in time.
+  it('cuts off no request that it has accepted, however long it runs', async () => {
+    const stoppedAt = delay(LEAD_MS + CALLER_COUNT * STAGGER_MS).then(() => {
+      deployment.getProcess('gateway-0').signal('SIGTERM');
+      return performance.now();
+    });
+    const late = sendLateBody(stoppedAt);
+    const callers = Array.from({ length: CALLER_COUNT }, async (_unused, index) => {
+      await delay(index * STAGGER_MS);
+      const client = new Client(`http://${deployment.getGatewayAddress(0)}`);
+      const first = await send(client, '/long/1', `long-${index}`);
+      const second = await send(client, '/short/1', `short-${index}`);
+      await client.destroy();
+      return { index, first, second };
+    });
+    const [, , shortEndpoint] = deployment.endpoints;
+    for (const { index, first, second } of await Promise.all(callers)) {
+      assert.equal(first, 200);
+      const hasRun = shortEndpoint?.arrivals.includes(`short-${index}`);
+      // The closing of an idle connection may cross a request, which then is not read.
+      assert.ok(second !== 'cut' || !hasRun, `call ${index}`);
+      assert.ok(second !== 503 || !hasRun, `call ${index}`);
+    }
+    assert.match(await late, /^HTTP\/1\.1 503 /);
+    assert.equal(await deployment.getProcess('gateway-0').exited, 0);
+    deployment.restart('gateway-0');
+    await deployment.waitServing();
+  });
+
+  it('answers what it cannot finish, and reads nothing more', async () => {
+    const clients = Array.from(
+      { length: CALLER_COUNT },
+      () => new Client(`http://${deployment.getGatewayAddress(0)}`),
+    );
+    const statuses = new Set<number | 'cut'>();
+    const arrivedBefore = deployment.endpoints[0]?.arrivals.length ?? 0;
+    const callers = clients.map(async (client, index) => {
+      for (let number = 0; !client.destroyed; number += 1) {
+        const status = await send(client, '/once/1', `once-${index}-${number}`);
+        statuses.add(status);
+        if (status === 'cut') return;
+      }
+    });
+    await waitFor('calls', () => (deployment.endpoints[0]?.arrivals.length ?? 0) > arrivedBefore);
+    deployment.getProcess('gateway-0').signal('SIGTERM');
+    assert.equal(await deployment.getProcess('gateway-0').exited, 0);
+    await Promise.all(clients.map((client) => client.destroy()));
+    await Promise.all(callers);
+    for (const status of statuses) assert.ok([200, 503, 'cut'].includes(status), String(status));
+  });
+});
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -43,6 +43,7 @@
     heads = [responseHead],
     isResumable = kind === 'stream',
     softwareVersion = undefined as string | undefined,
+    mayBegin = true,
   } = {},
 ) {
   const clock = new VirtualClock(ARRIVED_AT);
@@ -102,6 +103,7 @@
         recordCrash() {},
         receive() {},
       },
+      drain: { mayBegin: () => mayBegin },
       recordStreamOrigin() {},
       onEnd: (summary) => summaries.push(summary),
     },
@@ -144,6 +146,7 @@
     exchanges,
     ends,
     cancel: handler.cancel,
+    stop: handler.stop,
     getAborted: () => aborted,
     place() {
       const endpoint = createEndpoint(exchanges, recordAbort);
@@ -184,6 +187,25 @@
     assert.equal(second.maxQueueMs, (first?.maxQueueMs ?? 0) - 600);
   });
 
+  it('sends nothing that may run beyond the end of a stopping gateway', () => {
+    started = startHandler('nonIdempotent', 1, { mayBegin: false });
+    started.place();
+    assert.equal(started.exchanges.length, 0);
+    assert.deepEqual(started.statuses, [503]);
+  });
+
+  // Both lost their connection without an answer.
+  it('answers a waiting and a running request when the gateway stops', () => {
+    const waiting = startHandler('nonIdempotent', 1);
+    waiting.stop();
+    assert.deepEqual(waiting.statuses, [503]);
+    started = startHandler('nonIdempotent', 1);
+    started.place();
+    started.stop();
+    assert.deepEqual(started.statuses, [502]);
+    assert.equal(started.getAborted(), 1);
+  });
+
   // It was sent to up to six endpoints, each of which was ejected for it.
   it('refuses a request that cannot be sent, without blaming the endpoint', () => {
     started = startHandler('idempotent', 2);
