Test that a gateway that has missed a release joins no streams of two versions

Another operator's report: one gateway was cut off or stood still while endpoints of a new version joined; streams that others had begun there were taken up at it and went on at another version.

A gateway asks the keepers where a stream began and refuses it as not run while it knows no endpoint of that version. Two tests in test/faults/streamVersions.test.ts stop or cut off a gateway, let endpoints join, end the gateway that began the streams and take them up: none holds two versions, and most go on once the gateway is in step.

--- a/test/faults/streamVersions.test.ts
+++ b/test/faults/streamVersions.test.ts
@@ -19,6 +19,10 @@
 /** Events that a stream has to get in one try to have gone on. */
 const MIN_FURTHER_EVENTS = 3;
 const TIMEOUT_MS = 20_000;
+/** Time in which endpoints that have started are known to all gateways that can learn of them. */
+const JOIN_MS = 800;
+/** Time for which callers come back to a gateway that is still cut off. */
+const EARLY_MS = 300;
 
 let lastStreamNumber = 0;
 
@@ -141,6 +145,65 @@
     await takeUp(streams, 1);
   });
 
+  /** Starts endpoints of a version that `gateway-1` cannot learn of until `rejoin` is called. */
+  async function joinUnnoticed(how: 'stopped' | 'cut off', softwareVersion: string) {
+    const gateway = deployment.getProcess('gateway-1');
+    const proxies = deployment.listProxies('gateway-1');
+    if (how === 'stopped') gateway.signal('SIGSTOP');
+    else proxies.forEach((proxy) => proxy.setFlow('drop', 'drop'));
+    const plans = ['a', 'b'].map((name) => ({
+      id: `${softwareVersion}-${name}`,
+      pool: 'engines',
+      slots: STREAM_COUNT,
+      workMs: 10,
+      softwareVersion,
+      stream: { eventCount: EVENT_COUNT, intervalMs: EVENT_INTERVAL_MS },
+    }));
+    await Promise.all(plans.map((plan) => deployment.startEndpoint(plan)));
+    await delay(JOIN_MS);
+    return {
+      rejoin() {
+        gateway.signal('SIGCONT');
+        proxies.forEach((proxy) => proxy.heal());
+      },
+    };
+  }
+
+  /** Takes streams of a new version up at a gateway that has missed it, before and after it rejoins. */
+  async function takeUpOutOfStep(how: 'stopped' | 'cut off', softwareVersion: string) {
+    const { rejoin } = await joinUnnoticed(how, softwareVersion);
+    const { streams, ended } = openStreams(0);
+    await waitFor('streams of the new version', () =>
+      streams.some(({ events }) => events[0] === softwareVersion),
+    );
+    await delay(SHARING_LIMIT_MS);
+    await restart(['gateway-0']);
+    await ended;
+    const address = deployment.getGatewayAddress(1);
+    const open = () => Promise.all(streams.map((stream) => stream.open(address)));
+    const early = open();
+    // A stopped gateway finds the callers' requests beside the news that it has missed.
+    await delay(EARLY_MS);
+    rejoin();
+    await early;
+    checkVersions(streams);
+    await waitFor('most streams to go on', async () => {
+      await open();
+      checkVersions(streams);
+      const complete = streams.filter((stream) => stream.lastEventId === EVENT_COUNT);
+      return complete.length > STREAM_COUNT / 2;
+    });
+    await deployment.waitServing();
+  }
+
+  // Another operator's report: a gateway that had missed a release continued streams of the new
+  // version at endpoints of the old one.
+  it('are not joined by a gateway that was stopped while one version joined', () =>
+    takeUpOutOfStep('stopped', 'v3'));
+
+  it('are not joined by a gateway that was cut off while one version joined', () =>
+    takeUpOutOfStep('cut off', 'v4'));
+
   it('are refused as not run if nobody knows the version that began them', async () => {
     const headers = { Resumes: 'unknown/1', 'Last-Event-Id': '3' };
     const answer = await deployment.call(0, '/stream/unknown', 'unknown/2', headers);
