--- a/test/unit/platform/tableCodec.test.ts
+++ b/test/unit/platform/tableCodec.test.ts
@@ -91,6 +91,12 @@
     assert.throws(() => decodeTable(Buffer.from(truncated)), RaisedFailure);
   });
 
+  // Such a timer expires at once, so that each request on the route got 504.
+  it('bounds a timeout that is longer than a timer can be', () => {
+    const [route] = decode(createConfiguration({}, { timeoutMs: 10_000_000_000 })).routes;
+    assert.equal(route?.timeoutMs, 2 ** 31 - 1);
+  });
+
   it('splits a route between pools by their weights', () => {
     const split = [
       { service: 'engines', weight: 90 },
