--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -9,6 +9,7 @@
 import { createEndpointClient, type EndpointClient } from './endpointClient.js';
 import { createEndpointHealth, type EndpointHealth } from './endpointHealth.js';
 import { createEndpointSpeed, type EndpointSpeed } from './endpointSpeed.js';
+import { createPeerLoads } from './peerLoads.js';
 import {
   createRequestRateLimit,
   type GatewayCounts,
@@ -17,17 +18,12 @@
 import { createSlotLimiter, type SlotLimiter } from './slotLimiter.js';
 import type { ReportedLoad, ResponseHead } from './types.js';
 
-/** Age after which the report of another gateway is ignored. */
-const REPORT_RETENTION_MS = 1_500;
 /** Age after which the load that an endpoint itself reported is ignored. */
 const LOAD_RETENTION_MS = 400;
-/** Age after which a gateway without reports counts as removed. */
-const PEER_EXPIRY_MS = 30_000;
 /** Silence after which an endpoint with running requests receives no new ones. */
 const SILENCE_MS = 700;
 /** Time for which activity seen here overrides an ejection reported by another gateway. */
 const RECENT_MS = 300;
-
 /** Largest number that a report can hold. */
 const MAX_REPORTED_TOKENS = 2 ** 32 - 1;
 
@@ -80,15 +76,10 @@
   close(): void;
 }
 
-interface PeerLoads {
-  loads: Map<string, EndpointLoad>;
-  at: number;
-}
-
 /** Creates a tracker without endpoints. */
 export function createEndpointTracker(host: EndpointTrackerHost): EndpointTracker {
   const endpoints = new Map<string, Endpoint>();
-  const peers = new Map<string, PeerLoads>();
+  const peerLoads = createPeerLoads(host.now);
 
   return {
     syncWithRegistry,
@@ -100,7 +91,7 @@
     recordStatements,
     listLoads,
     get gatewayCounts() {
-      return countGateways();
+      return peerLoads.countGateways();
     },
     close,
   };
@@ -164,28 +155,13 @@
   }
 
   function getOccupancy(endpoint: Endpoint): number {
-    const { endpointId } = endpoint.announcement;
-    const oldest = host.now() - REPORT_RETENTION_MS;
-    let others = 0;
-    for (const peer of peers.values()) {
-      if (peer.at >= oldest) others += peer.loads.get(endpointId)?.running ?? 0;
-    }
+    const others = peerLoads.countRunning(endpoint.announcement.endpointId);
     return endpoint.running + Math.max(others, getSelfReportedOthers(endpoint));
   }
 
   function getUnreadTokens({ announcement, unreadTokens, speed }: Endpoint): number {
-    const now = host.now();
-    const tokenMs = speed.promptTokenMs ?? 0;
-    let others = 0;
-    for (const { loads, at } of peers.values()) {
-      const ageMs = now - at;
-      const reported = loads.get(announcement.endpointId)?.unreadTokens ?? 0;
-      if (reported === 0 || ageMs > REPORT_RETENTION_MS) continue;
-      // The endpoint has processed further tokens since the report.
-      const processedSince = tokenMs === 0 ? 0 : ageMs / tokenMs;
-      others += Math.max(0, reported - processedSince);
-    }
-    return unreadTokens + others;
+    const { endpointId } = announcement;
+    return unreadTokens + peerLoads.countUnreadTokens(endpointId, speed.promptTokenMs ?? 0);
   }
 
   /** Requests of other gateways, derived from the load that the endpoint itself reported. */
@@ -194,27 +170,12 @@
     return Math.max(0, selfReported.running + selfReported.waiting - selfReported.ownRunning);
   }
 
-  function countGateways(): GatewayCounts {
-    const now = host.now();
-    const counts = { responsive: 1, known: 1 };
-    for (const [id, { at }] of peers) {
-      if (now - at > PEER_EXPIRY_MS) {
-        peers.delete(id);
-        continue;
-      }
-      counts.known += 1;
-      if (now - at <= REPORT_RETENTION_MS) counts.responsive += 1;
-    }
-    return counts;
-  }
-
   function applyReport(report: GatewayReport): void {
     for (const load of report.loads) {
       if (load.isOut) applyRemoteEjection(load.endpointId);
       applyRate(report, load);
     }
-    const loads = new Map(report.loads.map((load) => [load.endpointId, load]));
-    peers.set(report.gatewayId, { loads, at: host.now() });
+    peerLoads.apply(report);
   }
 
   function applyRate(
