Report a request as unsendable only if nothing of it was sent

Cause: the client library's error code alone told that a request is no valid HTTP; it is certain that nothing was sent only if the request was not started.

Change: both have to hold. Found while reading the change; no case is known in which they differ.

--- a/src/gateway/endpointClient.ts
+++ b/src/gateway/endpointClient.ts
@@ -170,8 +170,9 @@
           idle.push(connection);
           if (isOver) return;
           isOver = true;
-          if (isInvalidRequest(error)) handler.onUnsendable(error.message);
-          else handler.onFailure(controller !== undefined, toReason(error));
+          const wasSent = controller !== undefined;
+          if (!wasSent && isInvalidRequest(error)) handler.onUnsendable(error.message);
+          else handler.onFailure(wasSent, toReason(error));
         },
       },
     );
