Send heartbeats of another writer in the soak

Change: one task sends the odd heartbeats of test/faults/foreignHeartbeats.test.ts, which share a fixture now, to one keeper after the other; none may be acknowledged, and no process may end.

--- a/test/faults/foreignHeartbeats.test.ts
+++ b/test/faults/foreignHeartbeats.test.ts
@@ -8,47 +8,11 @@
   createTableBody,
   type GatewayDeployment,
 } from '../fixtures/gatewayDeployment.js';
+import { heartbeat, oddHeartbeats } from '../fixtures/oddHeartbeats.js';
 
 const CALL_COUNT = 20;
 /** Time in which a heartbeat reaches all gateways. */
 const SPREAD_MS = 500;
-/** Levels of nesting that fit into the largest heartbeat. */
-const NESTING = 30_000;
-
-const heartbeat = {
-  service: 'desk',
-  address: '127.0.0.1:9',
-  zone: 'local',
-  version: 'v1',
-  capacity: 8,
-  state: 'ready',
-  warmupLeftMs: 0,
-  seq: 1,
-  born: Date.now(),
-};
-
-/** Bodies of heartbeats that name no endpoint to use, by what is odd about them. */
-const oddBodies: Readonly<Record<string, string>> = {
-  'no port has this number': JSON.stringify({ ...heartbeat, address: '127.0.0.1:80800' }),
-  'no IP address': JSON.stringify({ ...heartbeat, address: '999.1.1.1:80' }),
-  'a Unix time instead of a duration': JSON.stringify({
-    ...heartbeat,
-    service: 'unknown',
-    warmupLeftMs: Date.now(),
-  }),
-  'capacity beyond 32 bits': JSON.stringify({ ...heartbeat, capacity: 2 ** 32 }),
-  'start in microseconds': JSON.stringify({ ...heartbeat, born: 1_000 * Date.now() }),
-  'number beyond double precision': JSON.stringify(heartbeat).replace('"seq":1', '"seq":1e999'),
-  'state named like a property of objects': JSON.stringify({ ...heartbeat, state: 'constructor' }),
-  'deep nesting as a value': JSON.stringify({ ...heartbeat, zone: 0 }).replace(
-    '"zone":0',
-    `"zone":${'['.repeat(NESTING)}${']'.repeat(NESTING)}`,
-  ),
-  'deep nesting only': '['.repeat(2 * NESTING),
-  'unpaired surrogate': JSON.stringify({ ...heartbeat, service: '\ud800' }),
-  'bytes that are no text': '\u0000\ufffd{',
-};
-
 describe('a heartbeat of another writer', () => {
   let deployment: GatewayDeployment;
 
@@ -65,7 +29,7 @@
   // One such heartbeat ended each gateway at its next request, or kept keepers from sending anything.
   it('ends no process and keeps no news of others back', async () => {
     const statuses = new Map<string, number>();
-    for (const [index, [oddity, body]] of Object.entries(oddBodies).entries()) {
+    for (const [index, [oddity, body]] of Object.entries(oddHeartbeats).entries()) {
       for (const keeper of deployment.keeperIds.keys()) {
         statuses.set(oddity, await deployment.postHeartbeat(keeper, `foreign-${index}`, body));
       }
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -12,6 +12,7 @@
   createTableBody,
   type GatewayDeployment,
 } from '../fixtures/gatewayDeployment.js';
+import { oddHeartbeats } from '../fixtures/oddHeartbeats.js';
 import { createFaults } from './faults.js';
 
 const CALLERS = 8;
@@ -86,6 +87,7 @@
       callCrashingRepeatedly(),
       declareRepeatedly(),
       readRepeatedly(),
+      sendOddHeartbeats(),
     ];
     await injectFaults();
     await checkRecovery();
@@ -182,6 +184,18 @@
     }
   }
 
+  /** Sends heartbeats that name no endpoint to use, to one keeper after the other. */
+  async function sendOddHeartbeats(): Promise<void> {
+    const all = Object.entries(oddHeartbeats);
+    for (let count = 0; isRunning; count += 1) {
+      const [oddity, body] = all[count % all.length]!;
+      const keeper = count % deployment.keeperIds.length;
+      const status = await deployment.postHeartbeat(keeper, `odd-${count}`, body).catch(() => 503);
+      if (status < 400) result.violations.push(`${oddity}: heartbeat got status ${status}`);
+      await delay(READ_INTERVAL_MS);
+    }
+  }
+
   async function checkRecovery(): Promise<void> {
     const endAt = performance.now() + RECOVERY_LIMIT_MS;
     const gateways = deployment.gatewayIds.map((_id, index) => index);
