Build tables of tests with further routes in one place

Cause: three tests assembled routes and services in the same way. Change: addRoutes in the fixture of the deployment; a comment of the scheduler without 'measured'. No behaviour changes.

--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -12,7 +12,7 @@
 import { createWaitingQueue, type QueueItem, type WaitingQueue } from './waitingQueue.js';
 
 const REEVALUATION_INTERVAL_MS = 50;
-/** Time over which the placement rate is measured. */
+/** Time window of the placement rate. */
 const RATE_WINDOW_MS = 2_000;
 /** Requests that a plain service may hold beyond its slots, since its requests are short. */
 const SERVICE_QUEUE = 6;
--- a/test/faults/cutHeads.test.ts
+++ b/test/faults/cutHeads.test.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import { after, before, describe, it } from 'node:test';
 import {
+  addRoutes,
   createGatewayDeployment,
   createTableBody,
   type GatewayAnswer,
@@ -102,29 +103,13 @@
 
   before(async () => {
     deployment = await createGatewayDeployment([{ id: 'desk', pool: 'desk', slots: 8, workMs: 5 }]);
-    const table = createTableBody(1);
-    const [route] = table.routes as object[];
-    const [service] = table.services as object[];
-    const createRoute = (name: string, fields: object) => ({
-      ...route,
-      name,
-      pathPrefix: `/${name}/`,
-      service: name,
-      ...fields,
-    });
-    const routes = [
-      ...pools.map((name) => createRoute(name, { kind: 'non_idempotent', attempts: 1 })),
-      ...streamPools.map((name) =>
-        createRoute(name, { kind: 'streaming', attempts: STREAM_ENDPOINT_COUNT, resumable: true }),
-      ),
-    ];
-    const services = [...pools, ...streamPools].map((name) => ({ ...service, name }));
-    const declared = {
-      ...table,
-      routes: [...(table.routes as object[]), ...routes],
-      services: [...(table.services as object[]), ...services],
-    };
-    assert.equal(await deployment.declare(declared), 200);
+    const once = { kind: 'non_idempotent', attempts: 1 };
+    const stream = { kind: 'streaming', attempts: STREAM_ENDPOINT_COUNT, resumable: true };
+    const table = addRoutes(createTableBody(1), [
+      ...pools.map((name) => ({ name, service: name, fields: once })),
+      ...streamPools.map((name) => ({ name, service: name, fields: stream })),
+    ]);
+    assert.equal(await deployment.declare(table), 200);
     for (const pool of pools) await startEndpoint(pool, pool);
     for (const pool of streamPools) {
       for (let number = 0; number < STREAM_ENDPOINT_COUNT; number += 1) {
--- a/test/faults/stopping.test.ts
+++ b/test/faults/stopping.test.ts
@@ -6,6 +6,7 @@
 import { Client } from 'undici';
 import { delay, waitFor } from '../fixtures/deployment.js';
 import {
+  addRoutes,
   createGatewayDeployment,
   createTableBody,
   drainLimitMs,
@@ -29,32 +30,10 @@
 const LEAVE_LIMIT_MS = 2_000;
 
 function createStreamTableBody(): TableBody {
-  const table = createTableBody(1);
-  const createRoute = (name: string) => ({
-    name,
-    host: 'a.example',
-    pathPrefix: `/${name}/`,
-    kind: 'streaming',
-    timeoutMs: 12_000,
-    sloMs: 500,
-    priority: 1,
-    service: name,
-    attempts: 1,
-    public: true,
-    resumable: false,
-  });
-  const createService = (name: string) => ({
-    name,
-    healthPath: '/healthz',
-    maxConns: 200,
-    protocol: 'h1',
-    tls: false,
-  });
-  return {
-    ...table,
-    routes: [...(table.routes as object[]), createRoute('long'), createRoute('short')],
-    services: [...(table.services as object[]), createService('long'), createService('short')],
-  };
+  const fields = { kind: 'streaming', timeoutMs: 12_000, attempts: 1 };
+  const names = ['long', 'short'];
+  const routes = names.map((name) => ({ name, service: name, fields }));
+  return addRoutes(createTableBody(1), routes);
 }
 
 /**
--- a/test/faults/streamVersions.test.ts
+++ b/test/faults/streamVersions.test.ts
@@ -4,6 +4,7 @@
 import { after, before, describe, it } from 'node:test';
 import { delay, waitFor } from '../fixtures/deployment.js';
 import {
+  addRoutes,
   createGatewayDeployment,
   createTableBody,
   type GatewayDeployment,
@@ -27,26 +28,8 @@
 let lastStreamNumber = 0;
 
 function createStreamTableBody(): TableBody {
-  const table = createTableBody(1);
-  const stream = {
-    name: 'route-stream',
-    host: 'a.example',
-    pathPrefix: '/stream/',
-    kind: 'streaming',
-    timeoutMs: TIMEOUT_MS,
-    sloMs: 500,
-    priority: 1,
-    service: 'engines',
-    attempts: 3,
-    public: true,
-    resumable: true,
-  };
-  const engines = { name: 'engines', healthPath: '/healthz', maxConns: 200, protocol: 'h1' };
-  return {
-    ...table,
-    routes: [...(table.routes as object[]), stream],
-    services: [...(table.services as object[]), { ...engines, tls: false }],
-  };
+  const fields = { kind: 'streaming', timeoutMs: TIMEOUT_MS, attempts: 3, resumable: true };
+  return addRoutes(createTableBody(1), [{ name: 'stream', service: 'engines', fields }]);
 }
 
 describe('streams over two software versions', () => {
