Pass on nothing of a response before its head has arrived

Cause: when the connection to an agent is lost with the head of a response on it, the agent's next chunk can arrive on the new connection before its answer to the entry's question about the request. The entry wrote the chunk to the caller under an implicit 200 without headers; the real head then raised an exception, which ended the process with the requests of all its callers. On the same path, a response without a body whose head was lost was taken for complete and sent as an empty 200.

Chunks before the head are ignored now, and an end before the head makes the entry ask for the whole response again. The agent retains what has not been acknowledged.

Both new tests failed before.

--- a/src/entry/responseRelay.ts
+++ b/src/entry/responseRelay.ts
@@ -58,7 +58,8 @@
   }
 
   function handleChunk(request: PendingRequest, link: AgentLink, chunk: Chunk): void {
-    if (!isDispatchedTo(request, link)) return;
+    // A head that a lost connection took with it is sent again with all data, on request.
+    if (!isDispatchedTo(request, link) || request.state !== 'streaming') return;
     const overlap = request.receivedBytes - chunk.offset;
     if (overlap < 0) {
       reattach(request, link);
@@ -95,12 +96,15 @@
       host.fail(request, toFinishProblem(request, finished), stats);
       return;
     }
+    if (request.state !== 'streaming' || finished.length > request.receivedBytes) {
+      reattach(request, link);
+      return;
+    }
     if (finished.length === request.receivedBytes) {
       host.finish(request);
       request.sink.end({ kind: 'complete', stats });
       return;
     }
-    if (finished.length > request.receivedBytes) reattach(request, link);
-    else host.fail(request, toRunFailure(request, 'cut', 'the answer had a wrong length'), stats);
+    host.fail(request, toRunFailure(request, 'cut', 'the answer had a wrong length'), stats);
   }
 }
--- a/test/unit/entry/dispatcher.test.ts
+++ b/test/unit/entry/dispatcher.test.ts
@@ -1,4 +1,7 @@
-/** What happens to a request of an entry when the configuration changes around its dispatch. */
+/**
+ * What happens to a request of an entry when the configuration changes around its dispatch, or when
+ * the connection to its agent is lost after it.
+ */
 
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
@@ -7,7 +10,12 @@
 import { createDispatcher, type Dispatcher } from '../../../src/entry/dispatcher.js';
 import type { Floors } from '../../../src/entry/floors.js';
 import { createPolicy } from '../../../src/entry/placement.js';
-import type { EntryFrameBody, PendingRequest, RequestResult } from '../../../src/entry/types.js';
+import type {
+  EntryFrameBody,
+  PendingRequest,
+  RequestResult,
+  ResponseSink,
+} from '../../../src/entry/types.js';
 import type { AgentFrame, Finished } from '../../../src/generated/dispatch.js';
 import type { Member } from '../../../src/generated/keeper.js';
 import type { Team, Tier } from '../../../src/generated/schemas.js';
@@ -27,6 +35,8 @@
   sent: EntryFrameBody[];
   /** Results of the requests, in the order of their ends. */
   results: RequestResult[];
+  /** What the caller's response was given, in order: a status, data, or the kind of its end. */
+  response: string[];
   removeTeam(): void;
   submit(): void;
   receive(body: AgentFrame['body']): void;
@@ -53,6 +63,7 @@
   };
   const sent: EntryFrameBody[] = [];
   const results: RequestResult[] = [];
+  const response: string[] = [];
   let hasTeam = true;
   const member = { id: AGENT_ID, incarnation: INCARNATION, draining: false } as Member;
   const directory = {
@@ -87,16 +98,31 @@
     link,
     sent,
     results,
+    response,
     removeTeam() {
       hasTeam = false;
       dispatcher.readmit();
     },
-    submit: () => dispatcher.submit(createRequest(results)),
+    submit: () => dispatcher.submit(createRequest(createSink(results, response))),
     receive: (body) => dispatcher.handleFrame(link, { requestId: 'request-1', body }),
   };
 }
 
-function createRequest(results: RequestResult[]): PendingRequest {
+function createSink(results: RequestResult[], response: string[]): ResponseSink {
+  return {
+    start: (status) => void response.push(`status ${status}`),
+    write(data, onConsumed) {
+      response.push(data.toString());
+      onConsumed();
+    },
+    end(result) {
+      results.push(result);
+      response.push(result.kind);
+    },
+  };
+}
+
+function createRequest(sink: ResponseSink): PendingRequest {
   return {
     id: 'request-1',
     keyDigest: 'sha256:key',
@@ -125,14 +151,14 @@
     lostAt: undefined,
     exclusive: false,
     traceparent: '',
-    sink: { start() {}, write() {}, end: (result) => void results.push(result) },
+    sink,
   };
 }
 
-function createNotRun(): Finished {
+function createFinished(outcome: string, length: number): Finished {
   return {
-    outcome: 'not_run',
-    length: 0,
+    outcome,
+    length,
     promptTokens: 0,
     cachedTokens: 0,
     outputTokens: 0,
@@ -150,15 +176,25 @@
   assert.equal(sent.filter(({ $case }) => $case === 'reserve').length, reservations);
 }
 
+function dispatch({ submit, receive, sent }: Fixture): void {
+  submit();
+  const value = { grantId: 'grant-1', incarnation: INCARNATION, validMs: 1_000 };
+  receive({ $case: 'granted', value });
+  assert.equal(sent.at(-1)?.$case, 'dispatch');
+}
+
+function reconnect({ dispatcher, link, sent }: Fixture): void {
+  dispatcher.handleDisconnected(link);
+  dispatcher.handleConnected(link);
+  assert.equal(sent.at(-1)?.$case, 'statusQuery');
+}
+
 describe('a request whose team a ticket removes', () => {
   it('is rejected when an agent refuses the dispatch that was on its way', () => {
     const fixture = createFixture();
-    fixture.submit();
-    const value = { grantId: 'grant-1', incarnation: INCARNATION, validMs: 1_000 };
-    fixture.receive({ $case: 'granted', value });
-    assert.equal(fixture.sent.at(-1)?.$case, 'dispatch');
+    dispatch(fixture);
     fixture.removeTeam();
-    fixture.receive({ $case: 'finished', value: createNotRun() });
+    fixture.receive({ $case: 'finished', value: createFinished('not_run', 0) });
     checkRejected(fixture, 1);
   });
 
@@ -169,3 +205,40 @@
     checkRejected(fixture, 0);
   });
 });
+
+// An entry ended by an uncaught exception when a connection was lost with the head of a response on
+// it: the agent sent the next chunk on the new connection before the head was asked for again, and
+// the chunk went to the caller under a head of the entry's own.
+describe('a response whose head was lost with the connection', () => {
+  it('is sent from its head on when a chunk arrives before the head', () => {
+    const fixture = createFixture();
+    const { receive, response, sent } = fixture;
+    const chunk = { $case: 'chunk' as const, value: { offset: 0, data: Buffer.from('no') } };
+    dispatch(fixture);
+    reconnect(fixture);
+    receive(chunk);
+    assert.deepEqual(response, []);
+    receive({ $case: 'statusReport', value: { outcome: 'started' } });
+    const attach = sent.at(-1);
+    assert.ok(attach?.$case === 'attach');
+    assert.equal(attach.value.offset, 0);
+    receive({ $case: 'started', value: { status: 500, headers: [] } });
+    receive(chunk);
+    receive({ $case: 'finished', value: createFinished('complete', 2) });
+    assert.deepEqual(response, ['status 500', 'no', 'complete']);
+  });
+
+  it('is not taken for complete before the head has arrived', () => {
+    const fixture = createFixture();
+    const { receive, response, sent } = fixture;
+    const finished = { $case: 'finished' as const, value: createFinished('complete', 0) };
+    dispatch(fixture);
+    reconnect(fixture);
+    receive(finished);
+    assert.deepEqual(response, []);
+    assert.equal(sent.at(-1)?.$case, 'attach');
+    receive({ $case: 'started', value: { status: 404, headers: [] } });
+    receive(finished);
+    assert.deepEqual(response, ['status 404', 'complete']);
+  });
+});
