Take no head that was broken off for that of the response after it

Cause: bytes that belong to no request precede a response on a kept connection and break off within a header. The status line of the response becomes the rest of that value, so that the head has the status of the foreign bytes, and the id, the signature and the body of the response.

A status line in the reason phrase or in a header now makes the response count as broken; its connection is closed and the request is handled as after any broken response. Breaks elsewhere leave no HTTP, which the parser refuses.

--- a/src/gateway/endpointClient.ts
+++ b/src/gateway/endpointClient.ts
@@ -18,6 +18,12 @@
  * chunks. Several times what one read from a socket returns.
  */
 const MAX_BYTES_WITHOUT_PROGRESS = 256 * 1024;
+/**
+ * The beginning of a response. Within a head it shows that bytes which belong to no request were
+ * broken off there, and that the response follows.
+ */
+const STATUS_LINE_PATTERN = /HTTP\/1\.[01] [1-5]\d\d/;
+const STATUS_LINE_BEGINNING = 'HTTP/1.';
 
 /** A request as sent to an endpoint. */
 export interface EndpointRequest {
@@ -149,10 +155,17 @@
           recordProgress(connection);
           if (isOver) started.abort(createAbortReason());
         },
-        onResponseStart(started, status) {
+        onResponseStart(started, status, _headers, reasonPhrase) {
           if (isOver || status < 200) return;
           recordProgress(connection);
-          handler.onHead(status, (started.rawHeaders ?? []) as Buffer[]);
+          const rawHeaders = (started.rawHeaders ?? []) as Buffer[];
+          if (!hasStatusLine(reasonPhrase, rawHeaders)) {
+            handler.onHead(status, rawHeaders);
+            return;
+          }
+          isOver = true;
+          started.abort(createAbortReason());
+          handler.onFailure(true, 'a head that was broken off precedes the response');
         },
         onResponseData(started, chunk) {
           recordProgress(connection);
@@ -218,6 +231,15 @@
   return new DOMException('request aborted by the gateway', 'AbortError');
 }
 
+/** Whether a status line follows within a head. */
+function hasStatusLine(reasonPhrase = '', rawHeaders: readonly Buffer[] = []): boolean {
+  if (STATUS_LINE_PATTERN.test(reasonPhrase)) return true;
+  return rawHeaders.some(
+    (bytes) =>
+      bytes.includes(STATUS_LINE_BEGINNING) && STATUS_LINE_PATTERN.test(bytes.toString('latin1')),
+  );
+}
+
 function isInvalidRequest(error: Error): boolean {
   return (error as NodeJS.ErrnoException).code === INVALID_REQUEST_CODE;
 }
--- a/test/unit/gateway/endpointClient.test.ts
+++ b/test/unit/gateway/endpointClient.test.ts
@@ -157,4 +157,36 @@
     assert.deepEqual(first, { kind: 'end', status: 200, body: '1' });
     assert.deepEqual(second, { kind: 'end', status: 200, body: '2' });
   });
+
+  // A failure passed for a success: its status line became the rest of a header of the head before.
+  it('takes no head that was broken off for that of the response after it', async () => {
+    const brokenHead = [
+      'HTTP/1.1 200 OK',
+      'Date: Sat, 05 Dec 2026 06:00:00 GMT',
+      'Turmericrack-Attempt-Id: call-1',
+      'Turmericrack-Response-Signature: 3e1b.07.5a2',
+      'Content-Length: 7',
+      '\r\n',
+    ].join('\r\n');
+    const failure = 'HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed';
+    let position = 0;
+    const counts = new Map<Socket, number>();
+    const endpoint = await startRawEndpoint((socket) => {
+      const count = counts.get(socket) ?? 0;
+      counts.set(socket, count + 1);
+      if (count === 0) socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst');
+      else socket.write(brokenHead.slice(0, position) + failure);
+    });
+    const successes: number[] = [];
+    for (position = 1; position < brokenHead.length; position += 1) {
+      const client = createEndpointClient(endpoint.address);
+      await send(client);
+      const outcome = await send(client);
+      if (outcome.kind === 'end' && outcome.status !== 500) successes.push(position);
+      client.close();
+    }
+    endpoint.close();
+    assert.deepEqual(successes, []);
+    assert.equal(counts.size, brokenHead.length - 1);
+  });
 });
