Take the vote from keepers that are gone by how many are needed

Cause: a silent voter was removed only if a learner waited for its place or if the number of voters was even. Of five voters of which two had left, none was removed, and the three that were left were all needed for a majority. How many voters a cluster needs was guessed from their number.

The settings say now how many keepers may be lost at once, and silent voters beyond twice that and one are removed, one at a time. Where five are needed none is removed, as the silent ones may have what the others need after two lost disks; before, four voters of five could become three.

--- a/src/daemon/keeperProcess.ts
+++ b/src/daemon/keeperProcess.ts
@@ -18,7 +18,7 @@
 } from '../keeper/formation.js';
 import { startOperatorApi } from '../keeper/operatorApi.js';
 import { createPeers } from '../keeper/peers.js';
-import { repairMembership } from '../keeper/membershipChanges.js';
+import { getRequiredVoters, repairMembership } from '../keeper/membershipChanges.js';
 import { createReplica, type RunningReplica } from '../keeper/replica.js';
 import { createKeeperService } from '../keeper/keeperService.js';
 import { createSessions } from '../keeper/sessions.js';
@@ -123,8 +123,11 @@
   );
   const runningReplica = replica;
   maintainMembership(formation, runningReplica, clock).catch(onFatal);
+  const requiredVoters = getRequiredVoters(
+    settings.keeper.toleratedLosses ?? Math.floor((settings.keepers.length - 1) / 2),
+  );
   const repairTimer = setInterval(
-    () => repairMembership(runningReplica, clock),
+    () => repairMembership(runningReplica, clock, requiredVoters),
     MEMBERSHIP_REPAIR_INTERVAL_MS,
   );
 
--- a/src/keeper/membershipChanges.ts
+++ b/src/keeper/membershipChanges.ts
@@ -31,12 +31,22 @@
   return isProposed ? 'learner' : 'busy';
 }
 
+/** Returns the number of voters of which a majority is left after `losses` at once. */
+export function getRequiredVoters(losses: number): number {
+  return Math.min(MAX_VOTERS, Math.max(MIN_VOTERS, 2 * losses + 1));
+}
+
 /**
  * Proposes the next change towards promoting a learner that has caught up: first the failed voter
- * that it replaces is removed, then the learner is promoted. An even number of voters of which one
- * is unresponsive is left over from a planned replacement, so the unresponsive voter is removed.
+ * that it replaces is removed, then the learner is promoted. An unresponsive voter beyond
+ * `requiredVoters` is left over from a planned replacement and removed: with voters that are gone
+ * for good, the loss of one more could end the cluster.
  */
-export function repairMembership(replica: MembershipReplica, clock: Clock): void {
+export function repairMembership(
+  replica: MembershipReplica,
+  clock: Clock,
+  requiredVoters: number,
+): void {
   const { raft } = replica;
   if (!replica.isServing) return;
   const { membership } = raft.log;
@@ -47,8 +57,9 @@
     return;
   }
   const { voters, learners } = membership;
-  const failed = voters.length % 2 === 0 ? findUnresponsiveVoter(replica, clock.now()) : undefined;
-  if (failed === undefined || voters.length <= MIN_VOTERS) return;
+  if (voters.length <= requiredVoters) return;
+  const failed = findUnresponsiveVoter(replica, clock.now());
+  if (failed === undefined) return;
   replica.proposeMembership({ voters: excludeReplica(voters, failed), learners });
 }
 
--- a/test/unit/keeper/raft.test.ts
+++ b/test/unit/keeper/raft.test.ts
@@ -242,14 +242,46 @@
     persistAll(raft);
     acknowledge(raft, b, raft.log.lastIndex, LONG_AFTER_START_MS);
     acknowledge(raft, replaced, 5, LONG_AFTER_START_MS);
-    repairMembership(createMembershipReplica(raft), clock);
+    repairMembership(createMembershipReplica(raft), clock, 3);
     assert.deepEqual(raft.log.membership.voters, [a, b, c], 'the learner lags behind');
     acknowledge(raft, replaced, raft.log.lastIndex, LONG_AFTER_START_MS);
-    repairMembership(createMembershipReplica(raft), clock);
+    repairMembership(createMembershipReplica(raft), clock, 3);
     assert.deepEqual(raft.log.membership.voters, [a, b]);
     persistAll(raft);
     acknowledge(raft, b, raft.log.lastIndex, LONG_AFTER_START_MS);
-    repairMembership(createMembershipReplica(raft), clock);
+    repairMembership(createMembershipReplica(raft), clock, 3);
     assert.deepEqual(raft.log.membership.voters, [a, b, replaced]);
   });
+
+  describe('with five voters of which two are gone', () => {
+    const [d, e] = ['d', 'e'].map(createTestReplica) as [Replica, Replica];
+    const silentUntil = LONG_AFTER_START_MS + 4_000;
+    const later = { now: () => silentUntil, wallTime: () => 0 };
+
+    /** Lets the leader repair until nothing changes any more; `b` and `c` acknowledge. */
+    function repair(requiredVoters: number): Replica[] {
+      const raft = createNode({ voters: [a, b, c, d, e], learners: [] });
+      raft.tick(LONG_AFTER_START_MS);
+      for (const preVote of [true, false]) {
+        const term = preVote ? raft.term + 1 : raft.term;
+        for (const voter of [b, c]) grantVote(raft, voter, term, preVote, LONG_AFTER_START_MS);
+      }
+      for (let round = 0; round < 4; round += 1) {
+        persistAll(raft);
+        for (const voter of [b, c]) acknowledge(raft, voter, raft.log.lastIndex, silentUntil);
+        repairMembership(createMembershipReplica(raft), later, requiredVoters);
+      }
+      return raft.log.membership.voters;
+    }
+
+    // The loss of one more left the others without a majority for good.
+    it('remove both if three tolerate the losses that may come', () => {
+      assert.deepEqual(repair(3), [a, b, c]);
+    });
+
+    // Both may return with disks that are needed after the loss of two others.
+    it('remove none if five are needed to tolerate them', () => {
+      assert.deepEqual(repair(5), [a, b, c, d, e]);
+    });
+  });
 });
--- a/test/unit/keeper/raftSchedules.test.ts
+++ b/test/unit/keeper/raftSchedules.test.ts
@@ -20,10 +20,15 @@
   snapshot: 0,
 };
 
-function runMany(firstSeed: number, faultRates: FaultRates, voters?: number): ScheduleReport {
+function runMany(
+  firstSeed: number,
+  faultRates: FaultRates,
+  voters?: number,
+  requiredVoters?: number,
+): ScheduleReport {
   const total: ScheduleReport = { committed: 0, terms: 0, crashes: 0, diskLosses: 0, snapshots: 0 };
   for (let seed = firstSeed; seed < firstSeed + SCHEDULES; seed += 1) {
-    const report = runSchedule(seed, STEPS, faultRates, voters);
+    const report = runSchedule(seed, STEPS, faultRates, voters, requiredVoters);
     for (const key of Object.keys(total) as (keyof ScheduleReport)[]) total[key] += report[key];
   }
   return total;
@@ -77,4 +82,10 @@
     const total = runMany(5_000, faultRates, 5);
     assert.ok(total.diskLosses > 0 && total.crashes > 0);
   });
+
+  it('when voters that are silent for long lose their vote, down to three of five', () => {
+    const faultRates = { ...noFaults, crash: 8, diskLoss: 15, partition: 25, lostMessage: 10 };
+    const total = runMany(6_000, faultRates, 5, 3);
+    assert.ok(total.diskLosses > 0 && total.crashes > 0);
+  });
 });
