Log refused announcements where they are refused

What the adapter cannot decode never reaches the registry and is logged there, as before. No behaviour changes.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -10,7 +10,7 @@
 import type { GatewayProcessSettings } from '../common/settings.js';
 import { createCrashRecords } from '../crashes/crashRecords.js';
 import { createFeedClient } from '../feed/feedClient.js';
-import type { Announcement, GatewayReport } from '../generated/control.js';
+import type { GatewayReport } from '../generated/control.js';
 import type { CallSummary } from '../gateway/callProgress.js';
 import { startCallServer } from '../gateway/callServer.js';
 import { createCrashDetector } from '../gateway/crashDetector.js';
@@ -54,7 +54,7 @@
   const drain = createDrain(now, gateway.drainLimitMs - STOP_MARGIN_MS);
   let reportedReady = false;
   let limits: CallerLimits | undefined;
-  const registry = createEndpointRegistry();
+  const registry = createEndpointRegistry(logger);
   const tableView = createTableView({
     clock,
     logger,
@@ -116,7 +116,7 @@
     streamOrigins,
     onTable: tableView.receive,
     onAnnouncements(announcements) {
-      for (const announcement of announcements) mergeAnnouncement(announcement);
+      for (const announcement of announcements) registry.merge(announcement);
       endpoints.syncWithRegistry();
       scheduler.reevaluate();
     },
@@ -180,13 +180,6 @@
     return ready;
   }
 
-  function mergeAnnouncement(announcement: Announcement): void {
-    const outcome = registry.merge(announcement);
-    if (outcome.kind !== 'refused') return;
-    const { problem: reason } = outcome;
-    logger.event('announcementRefused', { endpoint: announcement.endpointId, reason });
-  }
-
   function applyTable(table: RoutingTable): void {
     quotas.updateTeams(table.teams ?? []);
     limits = table.limits;
--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -52,7 +52,7 @@
 
 export async function startKeeperControl(host: KeeperControlHost): Promise<KeeperControl> {
   const { settings, clock, logger, metadata, peers } = host;
-  const registry = createEndpointRegistry();
+  const registry = createEndpointRegistry(logger);
   const crashRecords = createCrashRecords(() => clock.now());
   const crashRecordStore = startCrashRecordStore({
     clock,
--- a/src/feed/feedServer.ts
+++ b/src/feed/feedServer.ts
@@ -141,10 +141,6 @@
 
   function announce(announcement: Announcement): MergeOutcome {
     const outcome = registry.merge(announcement);
-    if (outcome.kind === 'refused') {
-      const { problem: reason } = outcome;
-      logger.event('announcementRefused', { endpoint: announcement.endpointId, reason });
-    }
     if (outcome.kind === 'changed') publishAnnouncement(outcome.announcement);
     return outcome;
   }
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -7,6 +7,7 @@
  * the table. They are held apart, so that they affect neither ids nor addresses of other endpoints.
  */
 
+import type { Logger } from '../common/logging.js';
 import type { Announcement } from '../generated/control.js';
 import { createAnnouncementIndex, isLater } from './announcementIndex.js';
 import {
@@ -24,7 +25,7 @@
 
 /** Holds the latest announcement of each endpoint in each pool that it has named. */
 export interface EndpointRegistry {
-  /** Merges a valid announcement; an invalid one changes nothing. */
+  /** Merges a valid announcement; an invalid one changes nothing and is logged. */
   merge(announcement: Announcement): MergeOutcome;
   /** Adds pools to the declared ones, and returns whether any is new. A pool stays declared. */
   declarePools(names: Iterable<string>): boolean;
@@ -40,7 +41,7 @@
   isUsable(endpointId: string): boolean;
 }
 
-export function createEndpointRegistry(): EndpointRegistry {
+export function createEndpointRegistry(logger: Logger): EndpointRegistry {
   const declaredPools = new Set<string>();
   const byEndpoint = createAnnouncementIndex(declaredPools);
   // Holds the latest incarnation of each pool: an address may be reused by another endpoint.
@@ -58,8 +59,11 @@
 
   function merge(announcement: Announcement): MergeOutcome {
     const problem = tryGetAnnouncementProblem(announcement);
-    if (problem !== undefined) return { kind: 'refused', problem };
     const { endpointId, pool } = announcement;
+    if (problem !== undefined) {
+      logger.event('announcementRefused', { endpoint: endpointId, reason: problem });
+      return { kind: 'refused', problem };
+    }
     const current = byEndpoint.tryGet(endpointId, pool);
     const merged = current === undefined ? announcement : mergeAnnouncements(current, announcement);
     if (merged === current) return { kind: 'unchanged' };
--- a/test/unit/feed/feedServer.test.ts
+++ b/test/unit/feed/feedServer.test.ts
@@ -19,7 +19,7 @@
     clock,
     logger: { event() {} },
     deployment: 'test',
-    registry: createEndpointRegistry(),
+    registry: createEndpointRegistry({ event() {} }),
     crashRecords,
     streamOrigins: { record() {} },
     getTable: () => ({ revision: 1, document: Buffer.alloc(0) }),
--- a/test/unit/registry/registry.test.ts
+++ b/test/unit/registry/registry.test.ts
@@ -24,7 +24,7 @@
 }
 
 function mergeAll(announcements: readonly Announcement[]): EndpointRegistry {
-  const registry = createEndpointRegistry();
+  const registry = createEndpointRegistry({ event() {} });
   registry.declarePools(['engines', 'other']);
   for (const announcement of announcements) registry.merge(announcement);
   return registry;
