--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -10,7 +10,7 @@
 import type { GatewayProcessSettings } from '../common/settings.js';
 import { createCrashRecords } from '../crashes/crashRecords.js';
 import { createFeedClient } from '../feed/feedClient.js';
-import type { GatewayReport } from '../generated/control.js';
+import type { Announcement, GatewayReport } from '../generated/control.js';
 import type { CallSummary } from '../gateway/callProgress.js';
 import { startCallServer } from '../gateway/callServer.js';
 import { createCrashDetector } from '../gateway/crashDetector.js';
@@ -117,7 +117,7 @@
     streamOrigins,
     onTable: tableView.receive,
     onAnnouncements(announcements) {
-      for (const announcement of announcements) registry.merge(announcement);
+      for (const announcement of announcements) mergeAnnouncement(announcement);
       endpoints.syncWithRegistry();
       scheduler.reevaluate();
     },
@@ -188,6 +188,13 @@
     return gateway.drainLimitMs - STOP_MARGIN_MS - stoppingMs;
   }
 
+  function mergeAnnouncement(announcement: Announcement): void {
+    const outcome = registry.merge(announcement);
+    if (outcome.kind !== 'refused') return;
+    const { problem: reason } = outcome;
+    logger.event('announcementRefused', { endpoint: announcement.endpointId, reason });
+  }
+
   function applyTable(table: RoutingTable): void {
     quotas.updateTeams(table.teams ?? []);
     limits = table.limits;
--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -18,7 +18,7 @@
 import type { Peers } from '../keeper/peers.js';
 import type { RunningReplica } from '../keeper/replica.js';
 import { createTableAuthority } from '../keeper/tableAuthority.js';
-import { createEndpointRegistry } from '../registry/registry.js';
+import { createEndpointRegistry, type MergeOutcome } from '../registry/registry.js';
 import { createStreamOrigins } from '../streams/streamOrigins.js';
 import { startStreamOriginStore } from '../streams/streamOriginStore.js';
 import type { Adapter } from './types.js';
@@ -130,9 +130,9 @@
     },
   };
 
-  function announce(announcement: Announcement): void {
+  function announce(announcement: Announcement): MergeOutcome {
     host.metrics.count('feedAnnouncements', 1);
-    feedServer.announce(announcement);
+    return feedServer.announce(announcement);
   }
 
   function publish(): void {
--- a/src/daemon/types.ts
+++ b/src/daemon/types.ts
@@ -6,6 +6,7 @@
 import type { Announcement } from '../generated/control.js';
 import type { Dialect } from '../gateway/types.js';
 import type { TableAuthority } from '../keeper/tableAuthority.js';
+import type { MergeOutcome } from '../registry/registry.js';
 
 /** A started role. */
 export interface RunningProcess {
@@ -22,8 +23,8 @@
   /** host:port. */
   listen: string;
   authority: TableAuthority;
-  /** Registers an announcement and forwards it to all gateways. */
-  announce(announcement: Announcement): void;
+  /** Registers an announcement and forwards it to all gateways, unless it is not valid. */
+  announce(announcement: Announcement): MergeOutcome;
   /** Returns the newest announcement of an endpoint. */
   tryGetAnnouncement(endpointId: string): Announcement | undefined;
 }
--- a/src/feed/feedServer.ts
+++ b/src/feed/feedServer.ts
@@ -11,7 +11,7 @@
 import type { CrashRecordCursor, CrashRecords } from '../crashes/crashRecords.js';
 import type { Announcement, FeedMessage, FeedUpdate, GatewayReport } from '../generated/control.js';
 import type { TableDocument } from '../generated/keeper.js';
-import type { EndpointRegistry } from '../registry/registry.js';
+import type { EndpointRegistry, MergeOutcome } from '../registry/registry.js';
 import type { StreamOrigins } from '../streams/streamOrigins.js';
 
 /** Interval of the updates that forward reports and show subscribers that this keeper is alive. */
@@ -44,7 +44,7 @@
   /** Sends the newest table to all subscribers. */
   publishTable(): void;
   /** Merges an announcement into the registry; sends it to all subscribers if anything changed. */
-  announce(announcement: Announcement): void;
+  announce(announcement: Announcement): MergeOutcome;
   close(): void;
 }
 
@@ -139,10 +139,18 @@
     void sendConfirmedTable();
   }
 
-  function announce(announcement: Announcement): void {
-    if (!registry.merge(announcement)) return;
-    const merged = registry.tryGet(announcement.endpointId) ?? announcement;
-    const { endpointId, pool, softwareVersion, address, state, bornAtMs, sequence } = merged;
+  function announce(announcement: Announcement): MergeOutcome {
+    const outcome = registry.merge(announcement);
+    if (outcome.kind === 'refused') {
+      const { problem: reason } = outcome;
+      logger.event('announcementRefused', { endpoint: announcement.endpointId, reason });
+    }
+    if (outcome.kind === 'changed') publishAnnouncement(outcome.announcement);
+    return outcome;
+  }
+
+  function publishAnnouncement(announcement: Announcement): void {
+    const { endpointId, pool, softwareVersion, address, state, bornAtMs, sequence } = announcement;
     logger.event('endpointAnnounced', {
       endpoint: endpointId,
       pool,
@@ -152,7 +160,7 @@
       bornAtMs,
       sequence,
     });
-    for (const subscriber of subscribers) send(subscriber, { announcements: [merged] });
+    for (const subscriber of subscribers) send(subscriber, { announcements: [announcement] });
   }
 
   function pushUpdates(): void {
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -250,7 +250,7 @@
 
   function recordLeaving({ announcement }: Endpoint): void {
     const leaving = { ...announcement, state: 'leaving' };
-    if (!host.registry.merge(leaving)) return;
+    if (host.registry.merge(leaving).kind !== 'changed') return;
     host.logger.event('endpointLeaving', { endpoint: announcement.endpointId });
     host.onLeaving(leaving);
   }
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -5,16 +5,23 @@
  */
 
 import type { Announcement } from '../generated/control.js';
+import {
+  lifecycleStates,
+  tryGetAnnouncementProblem,
+  type EndpointState,
+} from './checkAnnouncement.js';
 
-/** States of an endpoint, in the order in which each of its incarnations goes through them. */
-const lifecycleStates = ['ready', 'leaving', 'gone'] as const;
-
-export type EndpointState = (typeof lifecycleStates)[number];
+/** What came of a received announcement. */
+export type MergeOutcome =
+  /** Something changed that subscribers of the feed act on; `announcement` is what is now held. */
+  | { kind: 'changed'; announcement: Announcement }
+  | { kind: 'unchanged' }
+  | { kind: 'refused'; problem: string };
 
 /** Holds the latest announcement of each endpoint. */
 export interface EndpointRegistry {
-  /** Returns whether the announcement changed anything that subscribers of the feed act on. */
-  merge(announcement: Announcement): boolean;
+  /** Merges a valid announcement; an invalid one changes nothing. */
+  merge(announcement: Announcement): MergeOutcome;
   tryGet(endpointId: string): Announcement | undefined;
   /** Announcements of all endpoints, including those that are gone. */
   list(): Announcement[];
@@ -34,15 +41,17 @@
     isUsable,
   };
 
-  function merge(announcement: Announcement): boolean {
+  function merge(announcement: Announcement): MergeOutcome {
+    const problem = tryGetAnnouncementProblem(announcement);
+    if (problem !== undefined) return { kind: 'refused', problem };
     const current = announcements.get(announcement.endpointId);
     const merged = current === undefined ? announcement : mergeAnnouncements(current, announcement);
-    if (merged === current) return false;
+    if (merged === current) return { kind: 'unchanged' };
     announcements.set(merged.endpointId, merged);
     updateLatestByAddress(merged);
-    return current === undefined || hasRelevantChange(current, merged);
+    const isChange = current === undefined || hasRelevantChange(current, merged);
+    return isChange ? { kind: 'changed', announcement: merged } : { kind: 'unchanged' };
   }
-
   function updateLatestByAddress(announcement: Announcement): void {
     const latest = latestByAddress.get(announcement.address);
     const isNewer = latest === undefined || announcement.bornAtMs >= latest.bornAtMs;
--- /dev/null
+++ b/test/faults/foreignHeartbeats.test.ts
@@ -0,0 +1,103 @@
+/** Heartbeats that another writer than an endpoint sends to a keeper, to real processes. */
+
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import { waitFor } from '../fixtures/deployment.js';
+import {
+  createGatewayDeployment,
+  createTableBody,
+  type GatewayDeployment,
+} from '../fixtures/gatewayDeployment.js';
+
+const CALL_COUNT = 20;
+/** Levels of nesting that fit into the largest heartbeat. */
+const NESTING = 30_000;
+
+const heartbeat = {
+  service: 'desk',
+  address: '127.0.0.1:9',
+  zone: 'local',
+  version: 'v1',
+  capacity: 8,
+  state: 'ready',
+  warmupLeftMs: 0,
+  seq: 1,
+  born: Date.now(),
+};
+
+/** Bodies of heartbeats that name no endpoint to use, by what is odd about them. */
+const oddBodies: Readonly<Record<string, string>> = {
+  'no port has this number': JSON.stringify({ ...heartbeat, address: '127.0.0.1:80800' }),
+  'no IP address': JSON.stringify({ ...heartbeat, address: '999.1.1.1:80' }),
+  'a Unix time instead of a duration': JSON.stringify({
+    ...heartbeat,
+    service: 'unknown',
+    warmupLeftMs: Date.now(),
+  }),
+  'capacity beyond 32 bits': JSON.stringify({ ...heartbeat, capacity: 2 ** 32 }),
+  'start in microseconds': JSON.stringify({ ...heartbeat, born: 1_000 * Date.now() }),
+  'number beyond double precision': JSON.stringify(heartbeat).replace('"seq":1', '"seq":1e999'),
+  'state named like a property of objects': JSON.stringify({ ...heartbeat, state: 'constructor' }),
+  'deep nesting as a value': JSON.stringify({ ...heartbeat, zone: 0 }).replace(
+    '"zone":0',
+    `"zone":${'['.repeat(NESTING)}${']'.repeat(NESTING)}`,
+  ),
+  'deep nesting only': '['.repeat(2 * NESTING),
+  'unpaired surrogate': JSON.stringify({ ...heartbeat, service: '\ud800' }),
+  'bytes that are no text': '\u0000\ufffd{',
+};
+
+describe('a heartbeat of another writer', () => {
+  let deployment: GatewayDeployment;
+
+  before(async () => {
+    deployment = await createGatewayDeployment([
+      { id: 'desk-a', pool: 'desk', slots: 8, workMs: 20 },
+    ]);
+    assert.equal(await deployment.declare(createTableBody(1)), 200);
+    await deployment.waitServing();
+  });
+
+  after(() => deployment.stop());
+
+  // One such heartbeat ended each gateway at its next request, or kept keepers from sending anything.
+  it('ends no process and keeps no news of others back', async () => {
+    const statuses = new Map<string, number>();
+    for (const [index, [oddity, body]] of Object.entries(oddBodies).entries()) {
+      for (const keeper of deployment.keeperIds.keys()) {
+        statuses.set(oddity, await deployment.postHeartbeat(keeper, `foreign-${index}`, body));
+      }
+    }
+    const longId = 'x'.repeat(300);
+    statuses.set('long id', await deployment.postHeartbeat(0, longId, JSON.stringify(heartbeat)));
+    await checkServing('/work/1', 'old');
+    assert.equal(await deployment.declare(createTableBody(2)), 200);
+    await waitFor('the table to be in force', async () => {
+      const answers = await Promise.all([0, 1].map((gateway) => tryCall(gateway)));
+      return answers.every((status) => status === 200);
+    });
+    await deployment.startEndpoint({ id: 'desk-b', pool: 'desk', slots: 8, workMs: 20 });
+    const [, added] = deployment.endpoints;
+    await waitFor('calls at the new endpoint', async () => {
+      await checkServing('/new-2/1', 'new');
+      return (added?.arrivals.length ?? 0) > 0;
+    });
+    for (const id of [...deployment.keeperIds, ...deployment.gatewayIds]) {
+      assert.equal(deployment.getProcess(id).isRunning, true, id);
+    }
+    for (const [oddity, status] of statuses) assert.equal(status, 400, oddity);
+  });
+
+  async function tryCall(gateway: number): Promise<number> {
+    return (await deployment.call(gateway, '/new-2/1', `try-${gateway}`)).status;
+  }
+
+  /** Sends more calls at once than one endpoint has slots. */
+  async function checkServing(path: string, prefix: string): Promise<void> {
+    const calls = Array.from({ length: CALL_COUNT }, (_unused, number) =>
+      deployment.call(number % 2, path, `${prefix}-${number}`),
+    );
+    const answers = await Promise.all(calls);
+    assert.deepEqual(new Set(answers.map(({ status }) => status)), new Set([200]));
+  }
+});
--- a/test/unit/registry/registry.test.ts
+++ b/test/unit/registry/registry.test.ts
@@ -40,6 +40,41 @@
 }
 
 describe('the registry', () => {
+  // An address that is no URL ended each gateway at its next request; a number that the feed cannot
+  // encode kept a keeper from sending anything.
+  it('refuses values that cannot be sent or used, and keeps what it holds', () => {
+    const registry = mergeAll([createAnnouncement({})]);
+    for (const change of [
+      { address: '127.0.0.1:80800' },
+      { address: '10.0.0.256:80' },
+      { address: '10.0.0.01:80' },
+      { address: '10.0.0.1:0' },
+      { address: 'desk:80' },
+      { slots: 2 ** 32 },
+      { slots: 1.5 },
+      { warmingForMs: 2 ** 32 },
+      { warmingForMs: Number.POSITIVE_INFINITY },
+      { sequence: 2 ** 53 },
+      { bornAtMs: 2 ** 53 },
+      { bornAtMs: 1_764_900_000_000_000 },
+      { bornAtMs: -1 },
+      { state: 'constructor' },
+      { endpointId: 'Ж' },
+      { endpointId: 'a b' },
+      { endpointId: '' },
+      { pool: '' },
+      { pool: '\ud800' },
+      { pool: 'x'.repeat(256) },
+      { failureDomain: 'x'.repeat(256) },
+      { softwareVersion: '\udc00' },
+    ]) {
+      const later = createAnnouncement({ bornAtMs: 200, sequence: 9, ...change });
+      assert.equal(registry.merge(later).kind, 'refused', JSON.stringify(change));
+    }
+    assert.deepEqual(registry.list(), [createAnnouncement({})]);
+    assert.equal(registry.isUsable('a'), true);
+  });
+
   it('keeps a leaving incarnation unusable when an earlier announcement arrives late', () => {
     const registry = mergeAll([
       createAnnouncement({ sequence: 5, state: 'leaving' }),
