--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -198,6 +198,10 @@
   function applyTable(table: RoutingTable): void {
     quotas.updateTeams(table.teams ?? []);
     limits = table.limits;
+    // Endpoints may announce themselves before a table declares their pool.
+    if (!registry.declarePools(table.pools.map(({ name }) => name))) return;
+    endpoints.syncWithRegistry();
+    scheduler.reevaluate();
   }
 
   function createReport(): GatewayReport {
--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -114,7 +114,7 @@
           listen: controlListen,
           authority,
           announce,
-          tryGetAnnouncement: (endpointId) => registry.tryGet(endpointId),
+          listAnnouncements: (endpointId) => registry.listOf(endpointId),
         });
   let publishedRevision = 0;
 
--- a/src/daemon/types.ts
+++ b/src/daemon/types.ts
@@ -25,8 +25,8 @@
   authority: TableAuthority;
   /** Registers an announcement and forwards it to all gateways, unless it is not valid. */
   announce(announcement: Announcement): MergeOutcome;
-  /** Returns the newest announcement of an endpoint. */
-  tryGetAnnouncement(endpointId: string): Announcement | undefined;
+  /** Returns the newest announcement of an endpoint in each pool that it has named. */
+  listAnnouncements(endpointId: string): Announcement[];
 }
 
 /** A running control API. */
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -58,7 +58,7 @@
 
 /** All endpoints of a gateway. */
 export interface EndpointTracker {
-  /** Adds, replaces and removes endpoints to match the registry. */
+  /** Adds, replaces and removes endpoints to match those of the registry's declared pools. */
   syncWithRegistry(): void;
   /** Endpoints of a pool that may receive a request that is retryable or not. */
   listUsable(pool: string, isRetryable: boolean): Endpoint[];
@@ -103,7 +103,7 @@
   };
 
   function syncWithRegistry(): void {
-    for (const announcement of host.registry.list()) {
+    for (const announcement of host.registry.listDeclared()) {
       const known = endpoints.get(announcement.endpointId);
       if (known === undefined || isReplaced(known.announcement, announcement)) {
         known?.client.close();
@@ -292,5 +292,7 @@
 }
 
 function isReplaced(known: Announcement, next: Announcement): boolean {
-  return known.bornAtMs !== next.bornAtMs || known.address !== next.address;
+  return (
+    known.bornAtMs !== next.bornAtMs || known.address !== next.address || known.pool !== next.pool
+  );
 }
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -2,9 +2,13 @@
  * The latest announcement of each endpoint. Announcements may arrive late, repeatedly and out of
  * order, at any keeper. Merging them in any order gives the same state, so no replicated log is
  * needed for it.
+ *
+ * Announcements that name a pool which no table has declared come from another writer, or precede
+ * the table. They are held apart, so that they affect neither ids nor addresses of other endpoints.
  */
 
 import type { Announcement } from '../generated/control.js';
+import { createAnnouncementIndex, isLater } from './announcementIndex.js';
 import {
   lifecycleStates,
   tryGetAnnouncementProblem,
@@ -18,50 +22,67 @@
   | { kind: 'unchanged' }
   | { kind: 'refused'; problem: string };
 
-/** Holds the latest announcement of each endpoint. */
+/** Holds the latest announcement of each endpoint in each pool that it has named. */
 export interface EndpointRegistry {
   /** Merges a valid announcement; an invalid one changes nothing. */
   merge(announcement: Announcement): MergeOutcome;
-  tryGet(endpointId: string): Announcement | undefined;
-  /** Announcements of all endpoints, including those that are gone. */
+  /** Adds pools to the declared ones, and returns whether any is new. A pool stays declared. */
+  declarePools(names: Iterable<string>): boolean;
+  /** Announcements of all endpoints in all pools, including those that are gone. */
   list(): Announcement[];
+  /** Announcements of one endpoint in all pools. */
+  listOf(endpointId: string): Announcement[];
+  /** Announcements of all endpoints in declared pools, including those that are gone. */
+  listDeclared(): Announcement[];
+  /** Returns the announcement of an endpoint's latest incarnation in a declared pool. */
+  tryGet(endpointId: string): Announcement | undefined;
   /** Whether new requests may be sent to the endpoint. */
   isUsable(endpointId: string): boolean;
 }
 
 export function createEndpointRegistry(): EndpointRegistry {
-  const announcements = new Map<string, Announcement>();
-  // The latest incarnation at each address: an address may be reused by another endpoint.
-  const latestByAddress = new Map<string, Announcement>();
+  const declaredPools = new Set<string>();
+  const byEndpoint = createAnnouncementIndex(declaredPools);
+  // Holds the latest incarnation of each pool: an address may be reused by another endpoint.
+  const byAddress = createAnnouncementIndex(declaredPools);
 
   return {
     merge,
-    tryGet: (endpointId) => announcements.get(endpointId),
-    list: () => [...announcements.values()],
+    declarePools,
+    list: byEndpoint.list,
+    listOf: byEndpoint.listOf,
+    listDeclared: byEndpoint.listLatest,
+    tryGet: byEndpoint.tryGetLatest,
     isUsable,
   };
 
   function merge(announcement: Announcement): MergeOutcome {
     const problem = tryGetAnnouncementProblem(announcement);
     if (problem !== undefined) return { kind: 'refused', problem };
-    const current = announcements.get(announcement.endpointId);
+    const { endpointId, pool } = announcement;
+    const current = byEndpoint.tryGet(endpointId, pool);
     const merged = current === undefined ? announcement : mergeAnnouncements(current, announcement);
     if (merged === current) return { kind: 'unchanged' };
-    announcements.set(merged.endpointId, merged);
-    updateLatestByAddress(merged);
+    byEndpoint.set(endpointId, merged);
+    const latest = byAddress.tryGet(merged.address, pool);
+    if (latest === undefined || isLater(merged, latest)) byAddress.set(merged.address, merged);
     const isChange = current === undefined || hasRelevantChange(current, merged);
     return isChange ? { kind: 'changed', announcement: merged } : { kind: 'unchanged' };
   }
-  function updateLatestByAddress(announcement: Announcement): void {
-    const latest = latestByAddress.get(announcement.address);
-    const isNewer = latest === undefined || announcement.bornAtMs >= latest.bornAtMs;
-    if (isNewer) latestByAddress.set(announcement.address, announcement);
+
+  function declarePools(names: Iterable<string>): boolean {
+    const { size } = declaredPools;
+    for (const name of names) declaredPools.add(name);
+    if (declaredPools.size === size) return false;
+    byEndpoint.refresh();
+    byAddress.refresh();
+    return true;
   }
 
   function isUsable(endpointId: string): boolean {
-    const announcement = announcements.get(endpointId);
+    const announcement = byEndpoint.tryGetLatest(endpointId);
     if (announcement?.state !== 'ready') return false;
-    return latestByAddress.get(announcement.address)?.endpointId === endpointId;
+    return byAddress.tryGetLatest(announcement.address)?.endpointId === endpointId;
   }
 }
 
@@ -91,7 +112,6 @@
     before.bornAtMs !== after.bornAtMs ||
     before.state !== after.state ||
     before.address !== after.address ||
-    before.pool !== after.pool ||
     before.slots !== after.slots
   );
 }
--- a/test/faults/foreignHeartbeats.test.ts
+++ b/test/faults/foreignHeartbeats.test.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import { after, before, describe, it } from 'node:test';
-import { waitFor } from '../fixtures/deployment.js';
+import { delay, waitFor } from '../fixtures/deployment.js';
 import {
   createGatewayDeployment,
   createTableBody,
@@ -10,6 +10,8 @@
 } from '../fixtures/gatewayDeployment.js';
 
 const CALL_COUNT = 20;
+/** Time in which a heartbeat reaches all gateways. */
+const SPREAD_MS = 500;
 /** Levels of nesting that fit into the largest heartbeat. */
 const NESTING = 30_000;
 
@@ -88,6 +90,20 @@
     for (const [oddity, status] of statuses) assert.equal(status, 400, oddity);
   });
 
+  // The registry took the address and the id away from the endpoint, which then got no request.
+  it('that names an unknown service takes no endpoint out of use', async () => {
+    const [endpoint] = deployment.endpoints;
+    const born = Date.now() + 60_000;
+    const body = { ...heartbeat, service: 'unknown', address: endpoint?.address, born };
+    for (const id of ['foreign', 'desk-a']) {
+      assert.equal(await deployment.postHeartbeat(0, id, JSON.stringify(body)), 200);
+    }
+    const countBefore = endpoint?.arrivals.length ?? 0;
+    await delay(SPREAD_MS);
+    await checkServing('/work/1', 'unknown');
+    assert.ok((endpoint?.arrivals.length ?? 0) > countBefore);
+  });
+
   async function tryCall(gateway: number): Promise<number> {
     return (await deployment.call(gateway, '/new-2/1', `try-${gateway}`)).status;
   }
