--- a/src/common/httpServer.ts
+++ b/src/common/httpServer.ts
@@ -1,10 +1,13 @@
 /** Functions that the HTTP servers of all roles share. */
 
-import type { IncomingMessage, Server } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Polka } from 'polka';
 import { raise, RaisedFailure } from './failure.js';
 import { splitAddress } from './settings.js';
 
+/** Interval at which a closing server looks for connections that have become idle. */
+const IDLE_CHECK_INTERVAL_MS = 50;
+
 /** Reads the whole body. Raises `usage` if it is larger than `maxBytes` or incomplete. */
 export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer> {
   const chunks: Buffer[] = [];
@@ -46,8 +49,8 @@
 }
 
 /**
- * Stops accepting connections, closes the idle ones and resolves when the remaining ones have
- * ended.
+ * Stops accepting connections, closes each one that is idle or becomes so, and resolves when all
+ * have ended. Callers that keep their connections in use are told to close them.
  */
 export function closeServer(server: Server | undefined): Promise<void> {
   return new Promise((resolve) => {
@@ -55,7 +58,14 @@
       resolve();
       return;
     }
-    server.close(() => resolve());
+    server.prependListener('request', (_request, response: ServerResponse) => {
+      response.shouldKeepAlive = false;
+    });
+    const timer = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_INTERVAL_MS);
+    server.close(() => {
+      clearInterval(timer);
+      resolve();
+    });
     server.closeIdleConnections();
   });
 }
--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -122,11 +122,12 @@
     service: createControlService(settings, authority, feedServer, streamOrigins),
     publish,
     async close() {
+      // What the API acknowledges until it is closed still has to reach the other processes.
+      await controlApi?.close();
       crashRecordStore.close();
       streamOriginStore.close();
       feedClient.close();
       feedServer.close();
-      await controlApi?.close();
     },
   };
 
