Log the begin of a start and errors of the disk that are retried

Nothing told a process that ended before it was up from one that was killed from outside: the first line came after the role had started. A metrics port that was taken ended the process with a stack trace on standard error and no line at all. A keeper whose disk was full waited without a word.

1008 processStarting comes before the role starts, 1004 processFailed also for failures of the start, and 2025 diskFailed and 2026 diskRecovered frame the retries of an operation on the disk. Seen on a gateway whose metrics.listen is taken: 1008, then 1004 with EADDRINUSE.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -294,7 +294,7 @@
 }
 
 async function writeLog(folder: string, size: number): Promise<void> {
-  const store = await openStore(folder);
+  const store = await openStore(folder, { event() {} });
   const entries: LogEntry[] = [];
   for (let index = 1; index <= size; index += 1) {
     const payload = { $case: 'command' as const, value: createClaimCommand(index) };
@@ -305,7 +305,7 @@
 }
 
 async function writeSnapshot(folder: string, size: number): Promise<void> {
-  const store = await openStore(folder);
+  const store = await openStore(folder, { event() {} });
   const state = createReplicatedState();
   for (const entry of store.state.initial.entries) applyTo(state, entry);
   const header = { index: size, term: 1, membership: { voters: [], learners: [] } };
@@ -315,7 +315,7 @@
 
 async function measureRecovery(folder: string): Promise<number> {
   const startedAt = performance.now();
-  const store = await openStore(folder);
+  const store = await openStore(folder, { event() {} });
   const state = createReplicatedState();
   if (store.state.snapshot !== undefined) state.load(store.state.snapshot.state);
   for (const entry of store.state.initial.entries) applyTo(state, entry);
--- a/src/common/recordFile.ts
+++ b/src/common/recordFile.ts
@@ -6,6 +6,7 @@
 import { open, rename, type FileHandle } from 'node:fs/promises';
 import { crc32 } from 'node:zlib';
 import { delay } from './delay.js';
+import type { Logger } from './logging.js';
 
 export const RECORD_HEADER_BYTES = 8;
 const DISK_RETRY_DELAY_MS = 200;
@@ -67,14 +68,28 @@
   }
 }
 
-/** Retries `run` while the disk is full or returns I/O errors. Any other error is thrown. */
-export async function retryOnDiskError(run: () => Promise<void>): Promise<void> {
-  while (true) {
+/**
+ * Retries `run` while the disk is full or returns I/O errors. Any other error is thrown. `operation`
+ * names in the log what is retried.
+ */
+export async function retryOnDiskError(
+  logger: Logger,
+  operation: string,
+  run: () => Promise<void>,
+): Promise<void> {
+  const startedAt = performance.now();
+  for (let attempts = 1; ; attempts += 1) {
     try {
       await run();
+      if (attempts > 1) {
+        const milliseconds = Math.round(performance.now() - startedAt);
+        logger.event('diskRecovered', { operation, attempts, milliseconds });
+      }
       return;
     } catch (caught) {
-      if (!retryableDiskErrors.has((caught as NodeJS.ErrnoException).code ?? '')) throw caught;
+      const error = (caught as NodeJS.ErrnoException).code ?? '';
+      if (!retryableDiskErrors.has(error)) throw caught;
+      if (attempts === 1) logger.event('diskFailed', { operation, error });
       await delay(DISK_RETRY_DELAY_MS);
     }
   }
--- a/src/crashes/crashRecordStore.ts
+++ b/src/crashes/crashRecordStore.ts
@@ -66,7 +66,7 @@
     if (isSaving || version === savedVersion) return;
     isSaving = true;
     try {
-      await retryOnDiskError(save);
+      await retryOnDiskError(logger, 'save the crash records', save);
       savedVersion = version;
     } catch (caught) {
       logger.event('crashRecordsLost', { reason: describeFailure(toFailure(caught)) });
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,7 +7,7 @@
 import { assertNever } from '../common/debug.js';
 import { describeFailure, raise, toFailure } from '../common/failure.js';
 import { abortProcess, createLogger, endProcess } from '../common/logging.js';
-import { createMetricsRecorder } from '../common/metricsRecorder.js';
+import { createMetricsRecorder, type MetricsRecorder } from '../common/metricsRecorder.js';
 import { readSettings, type ProcessSettings } from '../common/settings.js';
 import type { Adapter, RunningProcess } from './types.js';
 
@@ -74,15 +74,24 @@
   const incarnation = randomUUID();
   const clock = new SystemClock();
   const logger = createLogger(settings.id, settings.log?.level);
-  const metrics = await createMetricsRecorder(settings.metrics);
   const fail = (caught: unknown): void => {
     logger.event('processFailed', { failure: describeFailure(toFailure(caught)) });
     abortProcess(EXIT_FAILED);
   };
   process.on('uncaughtException', fail);
   process.on('unhandledRejection', fail);
-  const running = await startRole();
-  logger.event('processStarted', { role: settings.role, incarnation });
+  const { role } = settings;
+  logger.event('processStarting', { role, incarnation });
+  let metrics: MetricsRecorder;
+  let running: RunningProcess;
+  try {
+    metrics = await createMetricsRecorder(settings.metrics);
+    running = await startRole();
+  } catch (caught) {
+    fail(caught);
+    return;
+  }
+  logger.event('processStarted', { role, incarnation });
   process.on('SIGHUP', reload);
   // The settings are also reloaded if the file changes without a SIGHUP.
   watchFile(path, { interval: SETTINGS_POLL_MS, persistent: false }, reload);
--- a/src/daemon/keeperProcess.ts
+++ b/src/daemon/keeperProcess.ts
@@ -99,7 +99,7 @@
   if (bootstrapDecision?.kind === 'form') {
     await formCluster(formation, store, bootstrapDecision.voters);
     await store.close();
-    store = await openStore(folder);
+    store = await openStore(folder, logger);
   }
   replica = createReplica(
     {
@@ -150,7 +150,7 @@
 
 async function openOrReplaceStore(folder: string, clock: Clock, logger: Logger): Promise<Store> {
   try {
-    const store = await openStore(folder);
+    const store = await openStore(folder, logger);
     if (store.state.tornBytes > 0) logger.event('logTailCut', { bytes: store.state.tornBytes });
     return store;
   } catch (caught) {
@@ -158,6 +158,6 @@
     if (failure.kind !== 'storeCorrupt') throw caught;
     logger.event('storeCorrupt', { reason: failure.reason });
     quarantineStore(folder, clock.wallTime());
-    return openStore(folder);
+    return openStore(folder, logger);
   }
 }
--- a/src/keeper/store.ts
+++ b/src/keeper/store.ts
@@ -10,6 +10,7 @@
 import { open } from 'node:fs/promises';
 import { join } from 'node:path';
 import { raise } from '../common/failure.js';
+import type { Logger } from '../common/logging.js';
 import {
   LogBatch,
   SnapshotFile,
@@ -57,7 +58,7 @@
 }
 
 /** Opens or creates the store in `folder`. Raises `storeCorrupt`. */
-export async function openStore(folder: string): Promise<Store> {
+export async function openStore(folder: string, logger: Logger): Promise<Store> {
   mkdirSync(folder, { recursive: true });
   const storeId = await readStoreId(folder);
   const logPath = join(folder, 'log');
@@ -84,7 +85,7 @@
   ): Promise<void> {
     const bytes = encodeBatch(hardState, entries);
     if (bytes.length === 0) return;
-    await retryOnDiskError(async () => {
+    await retryOnDiskError(logger, 'append to the log', async () => {
       try {
         await writeAll(log, bytes);
         await log.datasync();
@@ -104,10 +105,12 @@
   ): Promise<number> {
     const payload = Buffer.from(SnapshotFile.encode(next).finish());
     const records = encodeBatch(hardState, entries);
-    await retryOnDiskError(() => replaceFile(snapshotPath, encodeRecord(payload)));
+    await retryOnDiskError(logger, 'write the snapshot', () =>
+      replaceFile(snapshotPath, encodeRecord(payload)),
+    );
     // The truncated log must not become durable before the snapshot that it depends on.
     await syncFolder(folder);
-    await retryOnDiskError(() => replaceFile(logPath, records));
+    await retryOnDiskError(logger, 'truncate the log', () => replaceFile(logPath, records));
     await syncFolder(folder);
     await log.close();
     log = await open(logPath, 'a');
--- a/src/streams/streamOriginStore.ts
+++ b/src/streams/streamOriginStore.ts
@@ -72,8 +72,9 @@
     isSaving = true;
     try {
       const added = cursor.takeAdded();
-      if (clock.now() >= rewriteAt) await retryOnDiskError(rewrite);
-      else if (added.length > 0) await append(encode(added));
+      if (clock.now() >= rewriteAt) {
+        await retryOnDiskError(logger, 'rewrite the stream origins', rewrite);
+      } else if (added.length > 0) await append(encode(added));
     } catch (caught) {
       // What was not appended is written with all the rest, and so is what follows a torn record.
       rewriteAt = clock.now();
--- a/test/unit/keeper/store.test.ts
+++ b/test/unit/keeper/store.test.ts
@@ -30,7 +30,7 @@
   afterEach(() => rmSync(folder, { recursive: true, force: true }));
 
   async function writeEntries(count: number): Promise<string> {
-    const store = await openStore(folder);
+    const store = await openStore(folder, { event() {} });
     await store.write({ term: 3, votedFor: 'x' }, []);
     for (let index = 1; index <= count; index += 1) {
       await store.write(undefined, [createEntry(index)]);
@@ -40,7 +40,7 @@
   }
 
   async function reopenStore() {
-    const store = await openStore(folder);
+    const store = await openStore(folder, { event() {} });
     await store.close();
     return store;
   }
@@ -58,7 +58,7 @@
 
   it('replaces an entry and all after it by a later entry with the same index', async () => {
     await writeEntries(5);
-    const store = await openStore(folder);
+    const store = await openStore(folder, { event() {} });
     await store.write(undefined, [createEntry(3, 2)]);
     await store.close();
     const { state } = await reopenStore();
@@ -74,7 +74,7 @@
     const whole = readFileSync(path);
     const { length: before } = whole;
     await writeEntries(0);
-    const store = await openStore(folder);
+    const store = await openStore(folder, { event() {} });
     await store.write(undefined, [createEntry(3)]);
     await store.close();
     const { length: after } = readFileSync(path);
@@ -92,7 +92,7 @@
     await writeEntries(2);
     const path = join(folder, 'log');
     const { length } = readFileSync(path);
-    const store = await openStore(folder);
+    const store = await openStore(folder, { event() {} });
     await store.write(undefined, [createEntry(3)]);
     await store.close();
     const bytes = readFileSync(path);
@@ -108,7 +108,7 @@
     await writeEntries(2);
     const path = join(folder, 'log');
     const { length: before } = readFileSync(path);
-    const store = await openStore(folder);
+    const store = await openStore(folder, { event() {} });
     await store.write(undefined, [createEntry(3), createEntry(4)]);
     await store.close();
     const whole = readFileSync(path);
@@ -130,7 +130,7 @@
 
   it('starts from the latest snapshot and the entries after it', async () => {
     await writeEntries(10);
-    const store = await openStore(folder);
+    const store = await openStore(folder, { event() {} });
     const header = { index: 8, term: 1, membership: { voters: [], learners: [] } };
     const snapshot = { header, state: Buffer.from('{}') };
     await store.saveSnapshot(snapshot, { term: 4, votedFor: '' }, [
@@ -151,7 +151,7 @@
   it('ignores entries up to the snapshot if a crash kept the old log', async () => {
     await writeEntries(10);
     const oldLog = readFileSync(join(folder, 'log'));
-    const store = await openStore(folder);
+    const store = await openStore(folder, { event() {} });
     const header = { index: 8, term: 1, membership: { voters: [], learners: [] } };
     await store.saveSnapshot({ header, state: Buffer.from('{}') }, { term: 1, votedFor: '' }, []);
     await store.close();
