Use no endpoint that has crashed until it announces itself again

Callers saw streams with events of two software versions: an engine that crashed and started again under its id took new streams before its first heartbeat, in its new version, while the gateways still held the announcement of the incarnation before. When the heartbeat came they resumed these streams at engines of the old version.

Cause: a gateway detected the crash but went on with what the ended incarnation had announced.

A detected crash now keeps the endpoint out of use until an announcement of another incarnation replaces it, for 4 s at most.

The new test of streamVersions failed before with streams joined from two versions and passes.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -89,8 +89,10 @@
   const streamOrigins = createStreamOrigins(now);
   const crashDetector = createCrashDetector({
     logger,
-    onCrash: ({ announcement }, interrupted) =>
-      crashSuspects.recordCrash(announcement, interrupted),
+    onCrash({ announcement, health }, interrupted) {
+      health.recordCrash(now());
+      crashSuspects.recordCrash(announcement, interrupted);
+    },
   });
   const scheduler = createScheduler({
     now,
--- a/src/gateway/endpointHealth.ts
+++ b/src/gateway/endpointHealth.ts
@@ -12,6 +12,8 @@
 const SMOOTHING_FACTOR = 0.12;
 const MIN_EJECTION_MS = 500;
 const MAX_EJECTION_MS = 4_000;
+/** Time in which the first announcement of an endpoint that starts again has arrived. */
+const RESTART_ANNOUNCEMENT_MS = 4_000;
 /** Time on probation during which only retryable requests probe the endpoint. */
 const RETRYABLE_ONLY_MS = 1_000;
 
@@ -39,6 +41,11 @@
   recordBrokenResponse(now: number): void;
   /** Records that no connection could be made, which ejects the endpoint at once. */
   recordUnreachable(now: number): void;
+  /**
+   * Records that the endpoint's process has ended. What answers at its address next may be another
+   * incarnation, of another software version; its announcement replaces this state.
+   */
+  recordCrash(now: number): void;
   /** Records that the endpoint wants no requests from this gateway until `until`. */
   recordUnwanted(until: number): void;
 }
@@ -49,7 +56,7 @@
   let failureShare = 0;
   let ejectedUntil = 0;
   let ejectionMs = MIN_EJECTION_MS;
-  let unwantedUntil = 0;
+  let awayUntil = 0;
   let isOnProbation = false;
   let isEjectedElsewhere = false;
 
@@ -76,13 +83,19 @@
     recordBrokenResponse,
     // Further requests would not get through for a while either.
     recordUnreachable: eject,
-    recordUnwanted(until) {
-      unwantedUntil = Math.max(unwantedUntil, until);
+    recordCrash(now) {
+      eject(now);
+      keepFrom(now + RESTART_ANNOUNCEMENT_MS);
     },
+    recordUnwanted: keepFrom,
   };
 
+  function keepFrom(until: number): void {
+    awayUntil = Math.max(awayUntil, until);
+  }
+
   function isUsable(now: number, { running, isRetryable }: ProbeCandidate): boolean {
-    if (now < Math.max(ejectedUntil, unwantedUntil)) return false;
+    if (now < Math.max(ejectedUntil, awayUntil)) return false;
     if (!isOnProbation && !isEjectedElsewhere) return true;
     if (running > 0) return false;
     return isRetryable || now >= ejectedUntil + RETRYABLE_ONLY_MS;
--- a/test/faults/streamVersions.test.ts
+++ b/test/faults/streamVersions.test.ts
@@ -24,6 +24,12 @@
 const JOIN_MS = 800;
 /** Time for which callers come back to a gateway that is still cut off. */
 const EARLY_MS = 300;
+/** Time for which streams are opened before an endpoint starts again. */
+const LEAD_MS = 2_500;
+/** Time from the start of an endpoint to its first heartbeat. */
+const SILENT_MS = 1_200;
+const RESTART_LOAD_MS = 8_000;
+const OPENING_INTERVAL_MS = 50;
 
 let lastStreamNumber = 0;
 
@@ -187,6 +193,25 @@
   it('are not joined by a gateway that was cut off while one version joined', () =>
     takeUpOutOfStep('cut off', 'v4'));
 
+  it('are not joined while an endpoint that started again under its id is silent', async () => {
+    const opened: CallerStream[] = [];
+    const endings: Promise<unknown>[] = [];
+    const endpoint = deployment.endpoints.find(({ id }) => id === 'v1-a');
+    const restarted = delay(LEAD_MS).then(() => endpoint?.restartAs('v5', SILENT_MS));
+    const endAt = performance.now() + RESTART_LOAD_MS;
+    for (let gateway = 0; performance.now() < endAt; gateway = 1 - gateway) {
+      lastStreamNumber += 1;
+      const stream = createCallerStream(`s${lastStreamNumber}`, `/stream/${lastStreamNumber}`);
+      opened.push(stream);
+      endings.push(stream.open(deployment.getGatewayAddress(gateway)));
+      await delay(OPENING_INTERVAL_MS);
+    }
+    await restarted;
+    await Promise.all(endings);
+    checkVersions(opened);
+    assert.ok(opened.some(({ events }) => events[0] === 'v5'));
+  });
+
   it('are refused as not run if nobody knows the version that began them', async () => {
     const headers = { Resumes: 'unknown/1', 'Last-Event-Id': '3' };
     const answer = await deployment.call(0, '/stream/unknown', 'unknown/2', headers);
--- a/test/unit/gateway/endpointHealth.test.ts
+++ b/test/unit/gateway/endpointHealth.test.ts
@@ -27,6 +27,13 @@
     assert.ok(!health.isEjected);
   });
 
+  it('uses no endpoint that has crashed until it would have announced itself again', () => {
+    const health = createEndpointHealth();
+    health.recordCrash(0);
+    assert.ok(!health.isUsable(3_900, idle));
+    assert.ok(health.isUsable(4_000, idle));
+  });
+
   it('probes with retryable requests first', () => {
     const health = createEndpointHealth();
     health.recordUnreachable(0);
