--- /dev/null
+++ b/test/unit/platform/settings.test.ts
@@ -0,0 +1,78 @@
+/** Settings that the users' platform renders from the template of the adapter. */
+
+import assert from 'node:assert/strict';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { describe, it } from 'node:test';
+import { readSettings, type ProcessSettings } from '../../../src/common/settings.js';
+import { renderTemplate } from '../../fixtures/settingsTemplate.js';
+
+const ip = '127.0.3.25';
+const bounds = {
+  graceS: 8,
+  strictRevoke: false,
+  retryRatio: 0.2,
+  retryWindowS: 10,
+  retryBurst: 52,
+  quotaBurst: 140_000,
+};
+const common = {
+  nodeName: 'edge-plovdiv-a-1',
+  ip,
+  zone: 'plovdiv-a',
+  region: 'bg-south',
+  portRange: [7_600, 7_615],
+  seeds: [`${ip}:8229`, '127.0.3.26:8229', '127.0.3.27:8229'],
+  bootstrap: true,
+  faultTolerance: { machines: 1, zones: 0, regions: 0 },
+  bounds,
+};
+const gateway = {
+  ...common,
+  role: 'gateway',
+  listen: { http: `${ip}:8221`, readiness: `${ip}:8224` },
+  dataDir: null,
+};
+const keeper = { ...common, role: 'keeper', listen: { admin: `${ip}:8229` }, dataDir: '/data' };
+
+function renderFile<T>(fields: object, use: (path: string) => T): T {
+  const folder = mkdtempSync(join(tmpdir(), 'turmericrack-'));
+  const path = join(folder, 'settings.yaml');
+  const template = readFileSync('platform/settings.toml', 'utf8');
+  writeFileSync(path, renderTemplate(template, { ...fields }));
+  const used = use(path);
+  rmSync(folder, { recursive: true });
+  return used;
+}
+
+function read(fields: object): ProcessSettings {
+  return renderFile(fields, readSettings);
+}
+
+describe('the settings on the platform', () => {
+  it('have the bounds in milliseconds, whole or fractional', () => {
+    assert.equal(read(gateway).gateway?.drainLimitMs, 8_000);
+    const fractional = { ...bounds, graceS: 8.5, retryWindowS: 2.5, retryBurst: 7.5 };
+    const settings = read({ ...gateway, bounds: fractional }).gateway;
+    assert.equal(settings?.drainLimitMs, 8_500);
+    assert.equal(settings?.retryWindowMs, 2_500);
+    assert.equal(settings?.retryBurst, 7.5);
+    assert.equal(read({ ...gateway, bounds: { graceS: 0.5 } }).gateway?.drainLimitMs, 500);
+  });
+
+  it('are valid without bounds, zones, regions or a tolerance', () => {
+    const bare = { bounds: {}, zone: '', region: null, faultTolerance: {}, bootstrap: null };
+    assert.ok((read({ ...gateway, ...bare }).gateway?.drainLimitMs ?? 0) > 0);
+    assert.equal(read({ ...keeper, ...bare }).keeper?.bootstrap, false);
+    const few = { ...keeper, seeds: [`${ip}:8229`], nodeName: 'Core_1' };
+    assert.deepEqual(read(few).keepers, [`${ip}:7600`]);
+  });
+
+  it('keep what is true and what is zero', () => {
+    const strict = { ...bounds, strictRevoke: true, retryBurst: 0 };
+    assert.equal(read({ ...gateway, bounds: strict }).gateway?.strictRevocation, true);
+    assert.equal(read({ ...gateway, bounds: strict }).gateway?.retryBurst, 0);
+    assert.equal(read(keeper).keeper?.bootstrap, true);
+  });
+});
