Use only ports of the platform's range between keepers

A keeper listened for operators on port 7601, whatever range the platform had set aside for connections between processes. Where the range, the control interface or a gateway's address took 7601 or 7615, one process bound a port twice and ended with status 1 at every start.

The settings have a portRange in place of keeperPort: keepers listen on its first port and for operators on the next one that no other listener of the process uses. The port of the metrics is fixed in the deploy file; where another listener of the process needs it, that one gets it and the process runs without metrics. Elsewhere: gateways and the other roles bind what they are given; a port held by another process of the host is a matter of the start, not of settings.

--- a/test/unit/platform/settings.test.ts
+++ b/test/unit/platform/settings.test.ts
@@ -75,4 +75,40 @@
     assert.equal(read({ ...gateway, bounds: strict }).gateway?.retryBurst, 0);
     assert.equal(read(keeper).keeper?.bootstrap, true);
   });
+
+  it('use only ports of the range between keepers, wherever it lies', () => {
+    for (const portRange of [
+      [7_600, 7_615],
+      [7_601, 7_616],
+      [7_614, 7_629],
+      [20_000, 20_015],
+    ]) {
+      const [first = 0, last = 0] = portRange;
+      const settings = read({ ...keeper, portRange });
+      const { listen, operatorListen } = settings.keeper!;
+      const operatorPort = Number(operatorListen.split(':')[1]);
+      assert.equal(listen, `${ip}:${first}`);
+      assert.equal(settings.keepers[1], `127.0.3.26:${first}`);
+      assert.ok(operatorPort > first && operatorPort <= last, operatorListen);
+      assert.notEqual(operatorListen, settings.metrics?.listen);
+    }
+  });
+
+  it('never give one port to two listeners of a process', () => {
+    for (const port of [7_601, 7_615]) {
+      for (const portRange of [
+        [7_600, 7_602],
+        [port, port],
+      ]) {
+        const admin = portRange[0] === port ? 8_229 : port;
+        const settings = read({ ...keeper, portRange, listen: { admin: `${ip}:${admin}` } });
+        const { listen, operatorListen, controlListen } = settings.keeper!;
+        const listeners = [listen, operatorListen, controlListen, settings.metrics?.listen];
+        const set = listeners.filter((listener) => listener !== undefined);
+        assert.equal(new Set(set).size, set.length, set.join(' '));
+      }
+      const listen = { http: `${ip}:${port}`, readiness: `${ip}:8224` };
+      assert.notEqual(read({ ...gateway, listen }).metrics?.listen, `${ip}:${port}`);
+    }
+  });
 });
