Read the settings file that the platform's variable names

The platform tells a process in TURMERICRACK_SETTINGS where its settings file is; the deploy file gave every process one fixed path. Processes that share a host, each with a file of its own, would all have read the same one, or none.

Evidence: the test failed before (status 2, usage), passes after. Elsewhere: the data folder, addresses and ports all come from the settings.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -27,7 +27,7 @@
 
 /** Runs the daemon. Roles that implement the protocols of a platform need `adapter`. */
 export async function runDaemon(adapter: Adapter | undefined): Promise<void> {
-  const options = readOptions();
+  const options = readOptions(adapter?.settingsPath);
   if (options === undefined) return;
   let settings: ProcessSettings;
   try {
@@ -44,7 +44,9 @@
   await run(options.config, settings, adapter);
 }
 
-function readOptions(): { config: string; check: boolean } | undefined {
+function readOptions(
+  settingsPath: string | undefined,
+): { config: string; check: boolean } | undefined {
   try {
     const { values } = parseArgs({
       options: {
@@ -57,7 +59,8 @@
       process.stdout.write(usage);
       return undefined;
     }
-    if (values.config !== undefined) return { config: values.config, check: values.check };
+    const config = values.config ?? settingsPath;
+    if (config !== undefined) return { config, check: values.check };
     writeError(usage);
   } catch (caught) {
     writeError(`${(caught as Error).message}\n\n${usage}`);
--- a/src/daemon/types.ts
+++ b/src/daemon/types.ts
@@ -36,6 +36,8 @@
 
 /** Integration with the protocols of a platform. */
 export interface Adapter {
+  /** Settings file of a process that is started without `--config`. */
+  settingsPath: string;
   dialect: Dialect;
   startControlApi(host: ControlApiHost): Promise<ControlApi>;
 }
--- a/test/unit/platform/settings.test.ts
+++ b/test/unit/platform/settings.test.ts
@@ -6,6 +6,7 @@
 import { join } from 'node:path';
 import { describe, it } from 'node:test';
 import { readSettings, type ProcessSettings } from '../../../src/common/settings.js';
+import { startProcess } from '../../fixtures/processes.js';
 import { renderTemplate } from '../../fixtures/settingsTemplate.js';
 
 const ip = '127.0.3.25';
@@ -42,7 +43,8 @@
   const template = readFileSync('platform/settings.toml', 'utf8');
   writeFileSync(path, renderTemplate(template, { ...fields }));
   const used = use(path);
-  rmSync(folder, { recursive: true });
+  if (used instanceof Promise) void used.finally(() => rmSync(folder, { recursive: true }));
+  else rmSync(folder, { recursive: true });
   return used;
 }
 
@@ -111,4 +113,14 @@
       assert.notEqual(read({ ...gateway, listen }).metrics?.listen, `${ip}:${port}`);
     }
   });
+
+  it('are read from the file that the environment names', async () => {
+    const { code, output } = await renderFile(gateway, async (path) => {
+      const child = startProcess('check', 'dist/platform.mjs', ['--check'], [], {
+        TURMERICRACK_SETTINGS: path,
+      });
+      return { code: await child.exited, output: child.output };
+    });
+    assert.equal(code, 0, output.join('\n'));
+  });
 });
