Handle signals from the first moment of a process

Operators saw processes end by themselves: a keeper that waited for its cluster to form was ended by SIGTERM (143) or by SIGHUP (129) within milliseconds and without a log line, and so was every role that got a signal while it loaded its modules or started.

The handlers were installed only once the role had started, which takes a keeper with an empty store as long as another keeper is missing.

The entry points now load one small module that receives signals, and then everything else. A stop during the start aborts the wait for a cluster, lets a start end that is about to, and shuts down what runs; a reload during the start is done once the role runs.

The other roles have started within some 100 ms; signals before Node.js itself handles them cannot be caught.

Elsewhere: the file watch shares the path of SIGHUP, and does nothing while the process stops.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,6 +9,8 @@
 import { abortProcess, createLogger, endProcess } from '../common/logging.js';
 import { createMetricsRecorder, type MetricsRecorder } from '../common/metricsRecorder.js';
 import { readSettings, type ProcessSettings } from '../common/settings.js';
+import { startLifecycle } from './lifecycle.js';
+import type { Signals } from './signals.js';
 import type { Adapter, RunningProcess } from './types.js';
 
 const EXIT_FAILED = 1;
@@ -26,7 +28,7 @@
 }
 
 /** Runs the daemon. Roles that implement the protocols of a platform need `adapter`. */
-export async function runDaemon(adapter: Adapter | undefined): Promise<void> {
+export async function runDaemon(signals: Signals, adapter: Adapter | undefined): Promise<void> {
   const options = readOptions(adapter?.settingsPath);
   if (options === undefined) return;
   let settings: ProcessSettings;
@@ -41,7 +43,7 @@
     process.stdout.write(`${options.config}: ok\n`);
     return;
   }
-  await run(options.config, settings, adapter);
+  run(options.config, settings, signals, adapter);
 }
 
 function readOptions(
@@ -69,65 +71,70 @@
   return undefined;
 }
 
-async function run(
+function run(
   path: string,
   settings: ProcessSettings,
+  signals: Signals,
   adapter: Adapter | undefined,
-): Promise<void> {
+): void {
   const incarnation = randomUUID();
   const clock = new SystemClock();
   const logger = createLogger(settings.id, settings.log?.level);
-  const fail = (caught: unknown): void => {
-    logger.event('processFailed', { failure: describeFailure(toFailure(caught)) });
-    abortProcess(EXIT_FAILED);
-  };
+  let metrics: MetricsRecorder | undefined;
   process.on('uncaughtException', fail);
   process.on('unhandledRejection', fail);
   const { role } = settings;
   logger.event('processStarting', { role, incarnation });
-  let metrics: MetricsRecorder;
-  let running: RunningProcess;
-  try {
-    metrics = await createMetricsRecorder(settings.metrics);
-    running = await startRole();
-  } catch (caught) {
-    fail(caught);
-    return;
-  }
-  logger.event('processStarted', { role, incarnation });
-  process.on('SIGHUP', reload);
+  const lifecycle = startLifecycle({
+    logger,
+    signals,
+    async start(stopping) {
+      metrics = await createMetricsRecorder(settings.metrics);
+      return startRole(metrics, stopping);
+    },
+    onStarted: () => logger.event('processStarted', { role, incarnation }),
+    reload,
+    fail,
+    end,
+  });
   // The settings are also reloaded if the file changes without a SIGHUP.
-  watchFile(path, { interval: SETTINGS_POLL_MS, persistent: false }, reload);
-  process.once('SIGTERM', () => void stop('SIGTERM'));
-  process.once('SIGINT', () => void stop('SIGINT'));
+  watchFile(path, { interval: SETTINGS_POLL_MS, persistent: false }, () => lifecycle.reload());
+
+  function fail(caught: unknown): void {
+    logger.event('processFailed', { failure: describeFailure(toFailure(caught)) });
+    abortProcess(EXIT_FAILED);
+  }
 
   /** Imports only the modules of the role, which keeps the memory of each process small. */
-  async function startRole(): Promise<RunningProcess> {
+  async function startRole(
+    recorder: MetricsRecorder,
+    stopping: AbortSignal,
+  ): Promise<RunningProcess> {
     switch (settings.role) {
       case 'entry': {
         const { startEntry } = await import('./entryProcess.js');
-        return startEntry(settings, incarnation, clock, logger, metrics);
+        return startEntry(settings, incarnation, clock, logger, recorder);
       }
       case 'agent': {
         const { startAgent } = await import('./agentProcess.js');
-        return startAgent(settings, incarnation, clock, logger, metrics);
+        return startAgent(settings, incarnation, clock, logger, recorder);
       }
       case 'keeper': {
         const { startKeeper } = await import('./keeperProcess.js');
-        return startKeeper(settings, clock, logger, metrics, fail, adapter);
+        return startKeeper(settings, clock, logger, recorder, fail, stopping, adapter);
       }
       case 'gateway': {
         const { startGateway } = await import('./gatewayProcess.js');
         const { dialect } =
           adapter ?? raise({ kind: 'usage', message: 'a gateway needs an adapter' });
-        return startGateway(settings, incarnation, clock, logger, metrics, dialect);
+        return startGateway(settings, incarnation, clock, logger, recorder, dialect);
       }
       default:
         return assertNever(settings);
     }
   }
 
-  function reload(): void {
+  function reload(running: RunningProcess): void {
     try {
       const changed = readSettings(path);
       running.reload?.(changed);
@@ -137,11 +144,8 @@
     }
   }
 
-  async function stop(signal: string): Promise<void> {
-    logger.event('processStopping', { signal });
-    await running.stop();
-    metrics.close();
-    logger.event('processStopped', {});
+  async function end(): Promise<void> {
+    metrics?.close();
     await endProcess(0);
   }
 }
--- a/src/daemon/keeperProcess.ts
+++ b/src/daemon/keeperProcess.ts
@@ -34,6 +34,7 @@
   logger: Logger,
   metrics: MetricsRecorder,
   onFatal: (caught: unknown) => void,
+  stopping: AbortSignal,
   adapter: Adapter | undefined,
 ): Promise<RunningProcess> {
   const folder = join(settings.keeper.dataFolder, 'keeper');
@@ -47,7 +48,6 @@
   const metadata = createPeerMetadata(settings);
   const peers = createPeers(metadata, (address) => resolveAddress(settings, address));
   let replica: RunningReplica | undefined;
-  let isStopped = false;
   const sessions = createSessions({
     clock,
     logger,
@@ -92,7 +92,7 @@
     self,
     mayForm: settings.keeper.bootstrap ?? true,
     getAddresses: () => seeds,
-    isStopped: () => isStopped,
+    isStopped: () => stopping.aborted,
   };
   const isEmpty = isEmptyStore(store);
   const bootstrapDecision = isEmpty ? await decideClusterBootstrap(formation) : undefined;
@@ -136,7 +136,6 @@
       seeds = changed.keepers;
     },
     async stop() {
-      isStopped = true;
       clearInterval(repairTimer);
       sessions.close();
       await control.close();
--- /dev/null
+++ b/src/daemon/lifecycle.ts
@@ -0,0 +1,74 @@
+/** Start, reload and graceful shutdown of a role, as signals ask for them. */
+
+import { delay } from '../common/delay.js';
+import type { Logger } from '../common/logging.js';
+import type { HandledSignal, Signals } from './signals.js';
+import type { RunningProcess } from './types.js';
+
+/** Time that a start in progress has to end after a signal to stop. */
+const START_ABORT_TIMEOUT_MS = 2_000;
+
+/** Dependencies of the lifecycle. */
+export interface LifecycleHost {
+  logger: Logger;
+  signals: Signals;
+  /** Starts the role. Waits that may be long end once `stopping` is aborted. */
+  start(stopping: AbortSignal): Promise<RunningProcess>;
+  onStarted(): void;
+  reload(running: RunningProcess): void;
+  /** Exits after an internal error. */
+  fail(caught: unknown): void;
+  /** Exits after a graceful shutdown. */
+  end(): Promise<void>;
+}
+
+/** A role that is starting, running or stopping. */
+export interface Lifecycle {
+  /** Applies changed settings to a role that runs, or to one that is starting once it runs. */
+  reload(): void;
+}
+
+/** Starts the role and obeys signals from then on. */
+export function startLifecycle(host: LifecycleHost): Lifecycle {
+  const { logger } = host;
+  const stopping = new AbortController();
+  let running: RunningProcess | undefined;
+  let isReloadPending = false;
+  const started = start();
+  host.signals.subscribe(receive);
+
+  return { reload };
+
+  function receive(signal: HandledSignal): void {
+    if (signal === 'SIGHUP') reload();
+    else void stop(signal);
+  }
+
+  async function start(): Promise<void> {
+    try {
+      running = await host.start(stopping.signal);
+    } catch (caught) {
+      // A start that is given up may end by an error.
+      if (!stopping.signal.aborted) host.fail(caught);
+      return;
+    }
+    if (stopping.signal.aborted) return;
+    host.onStarted();
+    if (isReloadPending) reload();
+  }
+
+  function reload(): void {
+    if (stopping.signal.aborted) return;
+    isReloadPending = running === undefined;
+    if (running !== undefined) host.reload(running);
+  }
+
+  async function stop(signal: HandledSignal): Promise<void> {
+    logger.event('processStopping', { signal });
+    stopping.abort();
+    await Promise.race([started, delay(START_ABORT_TIMEOUT_MS)]);
+    await running?.stop();
+    logger.event('processStopped', {});
+    await host.end();
+  }
+}
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,5 +1,8 @@
 /** Entry point of turmericrackd, the daemon without a platform adapter. */
 
-import { runDaemon } from './daemon.js';
+import { createSignals } from './signals.js';
 
-await runDaemon(undefined);
+const signals = createSignals();
+// Loading the other modules takes a while, in which signals may arrive.
+const { runDaemon } = await import('./daemon.js');
+await runDaemon(signals, undefined);
