Let repeated signals change nothing while a process stops

Operators lost requests that a stopping gateway had accepted: a second SIGTERM ended it at once, with status 143 and no 1003. SIGTERM followed by SIGINT shut the role down twice.

A stop now begins once. Later signals are logged (1010) and change nothing. A shutdown that fails, or that has not ended long after any shutdown of its role does, ends the process with 1004 and status 1; the time is the drain limit and 10 s more for a gateway, 30 s for a keeper, and one hour for entries and agents, which wait for their requests.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -16,6 +16,11 @@
 const EXIT_FAILED = 1;
 const EXIT_USAGE = 2;
 const SETTINGS_POLL_MS = 2_000;
+const KEEPER_STOP_TIMEOUT_MS = 30_000;
+/** Added to the drain limit of a gateway. */
+const GATEWAY_STOP_MARGIN_MS = 10_000;
+/** Longer than any request runs, as entries and agents wait for their requests. */
+const REQUESTS_STOP_TIMEOUT_MS = 3_600_000;
 const usage = `Usage: turmericrackd --config FILE [--check]
 
   --config FILE  settings (TOML)
@@ -88,6 +93,7 @@
   const lifecycle = startLifecycle({
     logger,
     signals,
+    stopTimeoutMs: getStopTimeoutMs(settings),
     async start(stopping) {
       metrics = await createMetricsRecorder(settings.metrics);
       return startRole(metrics, stopping);
@@ -149,3 +155,15 @@
     await endProcess(0);
   }
 }
+
+/** Returns a time that no graceful shutdown of the role takes. */
+function getStopTimeoutMs(settings: ProcessSettings): number {
+  switch (settings.role) {
+    case 'keeper':
+      return KEEPER_STOP_TIMEOUT_MS;
+    case 'gateway':
+      return settings.gateway.drainLimitMs + GATEWAY_STOP_MARGIN_MS;
+    default:
+      return REQUESTS_STOP_TIMEOUT_MS;
+  }
+}
--- a/src/daemon/lifecycle.ts
+++ b/src/daemon/lifecycle.ts
@@ -1,6 +1,7 @@
 /** Start, reload and graceful shutdown of a role, as signals ask for them. */
 
 import { delay } from '../common/delay.js';
+import { RaisedFailure } from '../common/failure.js';
 import type { Logger } from '../common/logging.js';
 import type { HandledSignal, Signals } from './signals.js';
 import type { RunningProcess } from './types.js';
@@ -8,10 +9,17 @@
 /** Time that a start in progress has to end after a signal to stop. */
 const START_ABORT_TIMEOUT_MS = 2_000;
 
+const stopTimedOut = new RaisedFailure({
+  kind: 'unavailable',
+  reason: 'the graceful shutdown does not end',
+});
+
 /** Dependencies of the lifecycle. */
 export interface LifecycleHost {
   logger: Logger;
   signals: Signals;
+  /** Time after which a graceful shutdown that does not end counts as failed. */
+  stopTimeoutMs: number;
   /** Starts the role. Waits that may be long end once `stopping` is aborted. */
   start(stopping: AbortSignal): Promise<RunningProcess>;
   onStarted(): void;
@@ -40,7 +48,8 @@
   return { reload };
 
   function receive(signal: HandledSignal): void {
-    if (signal === 'SIGHUP') reload();
+    if (stopping.signal.aborted) logger.event('signalIgnored', { signal });
+    else if (signal === 'SIGHUP') reload();
     else void stop(signal);
   }
 
@@ -66,8 +75,16 @@
   async function stop(signal: HandledSignal): Promise<void> {
     logger.event('processStopping', { signal });
     stopping.abort();
-    await Promise.race([started, delay(START_ABORT_TIMEOUT_MS)]);
-    await running?.stop();
+    const timer = setTimeout(() => host.fail(stopTimedOut), host.stopTimeoutMs);
+    try {
+      await Promise.race([started, delay(START_ABORT_TIMEOUT_MS)]);
+      await running?.stop();
+    } catch (caught) {
+      host.fail(caught);
+      return;
+    } finally {
+      clearTimeout(timer);
+    }
     logger.event('processStopped', {});
     await host.end();
   }
--- a/test/integration/signals.test.ts
+++ b/test/integration/signals.test.ts
@@ -88,4 +88,23 @@
       daemon.removeFolder();
     }
   });
+
+  for (const kind of daemonKinds) {
+    it(`that are repeated while a daemon (${kind}) stops cut its shutdown short in no way`, async () => {
+      const daemon = await createDaemon(kind);
+      const stopping = daemon.start();
+      try {
+        await waitFor('it handles signals', () => handlesSignals(stopping), 3_000);
+        await delay(500);
+        for (const signal of ['SIGTERM', 'SIGTERM', 'SIGINT', 'SIGHUP', 'SIGTERM'] as const) {
+          stopping.signal(signal);
+          await delay(20);
+        }
+        await expectOrderlyEnd(stopping);
+      } finally {
+        await stopping.kill();
+        daemon.removeFolder();
+      }
+    });
+  }
 });
