Form the cluster without a keeper that may no longer form it

Only the first keeper of the list formed the cluster. When its process ended before that and came back with the settings of a later start (bootstrap false), it waited for a cluster to join and the others for it to form one: the system never started, though every process ran. Where the keepers were told of each other in different orders, each one was the first and formed a cluster.

Keepers now say in their probe whether they may form a cluster. The one with the lowest address of those that may does so, once all others have answered that their stores are empty. A keeper that is not the first asks twice, so that what a process before it sent has arrived by then.

--- a/src/daemon/keeperProcess.ts
+++ b/src/daemon/keeperProcess.ts
@@ -45,6 +45,8 @@
     address: settings.keeper.listen,
     operatorAddress: settings.keeper.operatorListen,
   };
+  const isEmpty = isEmptyStore(store);
+  const mayForm = isEmpty && (settings.keeper.bootstrap ?? true);
   const metadata = createPeerMetadata(settings);
   const peers = createPeers(metadata, (address) => resolveAddress(settings, address));
   let replica: RunningReplica | undefined;
@@ -59,6 +61,7 @@
     logger,
     self,
     sessions,
+    mayForm,
     tryGetReplica: () => replica,
   });
   const server = createServer();
@@ -90,11 +93,10 @@
     metadata,
     deployment: settings.deployment,
     self,
-    mayForm: settings.keeper.bootstrap ?? true,
+    mayForm,
     getAddresses: () => seeds,
     isStopped: () => stopping.aborted,
   };
-  const isEmpty = isEmptyStore(store);
   const bootstrapDecision = isEmpty ? await decideClusterBootstrap(formation) : undefined;
   if (bootstrapDecision?.kind === 'form') {
     await formCluster(formation, store, bootstrapDecision.voters);
--- a/src/keeper/formation.ts
+++ b/src/keeper/formation.ts
@@ -1,6 +1,7 @@
 /**
  * Cluster formation. A keeper with an empty store forms a new cluster only if every other
- * configured keeper reports an empty store, too. Otherwise it joins a cluster as a learner.
+ * configured keeper reports an empty store, too, and none with a lower address may form one.
+ * Otherwise it joins a cluster as a learner.
  */
 
 import type { Metadata } from '@grpc/grpc-js';
@@ -33,7 +34,7 @@
   self: Replica;
   /** Whether this keeper may form a new cluster. */
   mayForm: boolean;
-  /** Addresses of all configured keepers. Only the first one forms a cluster. */
+  /** Addresses of all configured keepers, in any order. */
   getAddresses(): readonly string[];
   isStopped(): boolean;
 }
@@ -49,21 +50,40 @@
 
 /** Resolves once it is known whether this keeper forms a cluster or joins one. */
 export async function decideClusterBootstrap(host: FormationHost): Promise<BootstrapDecision> {
-  const addresses = host.getAddresses();
-  const others = addresses.filter((address) => address !== host.self.address);
-  if (!host.mayForm || addresses[0] !== host.self.address) return { kind: 'join' };
+  const configured = [...host.getAddresses()].sort();
+  const { address: ownAddress } = host.self;
+  if (!host.mayForm || !configured.includes(ownAddress)) return { kind: 'join' };
+  const others = configured.filter((address) => address !== ownAddress);
+  const isFirst = configured[0] === ownAddress;
+  let agreeingRounds = 0;
   while (!host.isStopped()) {
-    const answers = await Promise.all(others.map((address) => tryProbe(host, address)));
+    // The settings may name other keepers by now, which may belong to a cluster.
+    const known = host.getAddresses().filter((address) => address !== ownAddress);
+    const addresses = [...new Set([...others, ...known])];
+    const answers = await Promise.all(addresses.map((address) => tryProbe(host, address)));
     if (answers.some((answer) => answer?.initialized)) return { kind: 'join' };
-    const replicas = answers.flatMap((answer) => answer?.replica ?? []);
-    if (replicas.length === others.length) {
-      return { kind: 'form', voters: [host.self, ...replicas] };
-    }
+    const voters = tryListVoters(host.self, answers.slice(0, others.length));
+    agreeingRounds = voters === undefined ? 0 : agreeingRounds + 1;
+    if (voters !== undefined && (isFirst || agreeingRounds > 1)) return { kind: 'form', voters };
     await delay(PROBE_INTERVAL_MS);
   }
   return { kind: 'join' };
 }
 
+/** Returns the voters if all others have answered and none with a lower address forms a cluster. */
+function tryListVoters(
+  self: Replica,
+  answers: readonly (ProbeResponse | undefined)[],
+): Replica[] | undefined {
+  const voters = [self];
+  for (const answer of answers) {
+    if (answer?.replica === undefined) return undefined;
+    if (answer.mayForm && answer.replica.address < self.address) return undefined;
+    voters.push(answer.replica);
+  }
+  return voters;
+}
+
 /** Writes the first entry of a new cluster. */
 export async function formCluster(
   host: FormationHost,
--- a/src/keeper/keeperService.ts
+++ b/src/keeper/keeperService.ts
@@ -38,6 +38,8 @@
   logger: Logger;
   self: Replica;
   sessions: Sessions;
+  /** Whether this keeper may form a new cluster. */
+  mayForm: boolean;
   /** Undefined until this keeper forms or joins a cluster. */
   tryGetReplica(): RunningReplica | undefined;
 }
@@ -121,6 +123,7 @@
       initialized: (raft?.log.lastIndex ?? 0) > 0,
       membership: raft?.log.membership,
       leaderAddress: raft?.leader?.address ?? '',
+      mayForm: host.mayForm,
     };
   }
 
