Close no connection of a stopping server whose response is not sent yet

What callers saw: while a gateway, an entry or a keeper stopped, an answer that was complete, but that its caller had not read to the end, broke off. For a call that may not be repeated this is an unknown outcome.

Cause: a stopping server calls closeIdleConnections of Node.js every 50 ms, and server.close does so once more. Node.js takes a connection for idle as soon as the end of its response has been written to a buffer, whether or not any of it has been sent.

Why it works: keepUnsentResponses replaces closeIdleConnections by one that counts a connection as idle if no response on it is open and nothing has arrived since the last one. A response closes once all of it has been handed to the system. A caller that stops to read cannot hold the stop: without progress its connection is closed after 1.5 to 3 s.

--- a/src/common/httpServer.ts
+++ b/src/common/httpServer.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import type { Polka } from 'polka';
 import { raise, RaisedFailure } from './failure.js';
+import { keepUnsentResponses } from './idleConnections.js';
 import { splitAddress } from './settings.js';
 
 /** Interval at which a closing server looks for connections that have become idle. */
@@ -76,6 +77,7 @@
   let isClosing = false;
   if (server === undefined) return { close: () => Promise.resolve() };
   server.keepAliveTimeout = keepAliveMs;
+  keepUnsentResponses(server);
   server.on('connection', (socket) => {
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
--- /dev/null
+++ b/src/common/idleConnections.ts
@@ -0,0 +1,64 @@
+/** Closes the idle connections of an HTTP server, and no connection that still carries a response. */
+
+import type { Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+/**
+ * Time without progress after which a caller is taken not to read its response any more. Node.js
+ * may let it pass twice, as it compares what is left to send only each time.
+ */
+const SEND_STALL_TIMEOUT_MS = 1_500;
+
+/** An open connection. */
+interface Connection {
+  openResponses: Set<ServerResponse>;
+  /** Bytes received when the connection was last idle. */
+  bytesWhenIdle: number;
+  hasStallTimeout: boolean;
+}
+
+/**
+ * Replaces `server.closeIdleConnections`, which `server.close` calls as well. Node.js regards a
+ * connection as idle once the end of a response has been written to a buffer, although most of it
+ * may not have been sent yet.
+ */
+export function keepUnsentResponses(server: Server): void {
+  const connections = new Map<Socket, Connection>();
+  server.on('connection', (socket) => {
+    connections.set(socket, {
+      openResponses: new Set(),
+      bytesWhenIdle: 0,
+      hasStallTimeout: false,
+    });
+    socket.once('close', () => connections.delete(socket));
+  });
+  server.prependListener('request', ({ socket }, response) => {
+    const connection = connections.get(socket);
+    if (connection === undefined) return;
+    connection.openResponses.add(response);
+    response.once('close', () => {
+      connection.openResponses.delete(response);
+      connection.bytesWhenIdle = socket.bytesRead;
+    });
+  });
+  server.closeIdleConnections = () => {
+    for (const [socket, connection] of connections) {
+      if (isIdle(socket, connection)) socket.destroy();
+      else limitStall(socket, connection);
+    }
+  };
+}
+
+/** Whether no response is open and no part of the next request has arrived. */
+function isIdle(socket: Socket, { openResponses, bytesWhenIdle }: Connection): boolean {
+  return openResponses.size === 0 && socket.bytesRead === bytesWhenIdle;
+}
+
+/** Closes the connection if its caller stops to read a response that is complete. */
+function limitStall(socket: Socket, connection: Connection): void {
+  const { openResponses, hasStallTimeout } = connection;
+  if (hasStallTimeout || openResponses.size === 0) return;
+  for (const { writableEnded } of openResponses) if (!writableEnded) return;
+  connection.hasStallTimeout = true;
+  socket.setTimeout(SEND_STALL_TIMEOUT_MS);
+}
--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../common/clock.js';
 import { RaisedFailure } from '../common/failure.js';
 import { hasBody, listenOn, readBody } from '../common/httpServer.js';
+import { keepUnsentResponses } from '../common/idleConnections.js';
 import type { Logger } from '../common/logging.js';
 import type { CallerLimits, Route } from '../routing/types.js';
 import { admit, consumeQuota, type Admission, type TableState } from './callAdmission.js';
@@ -67,6 +68,7 @@
     connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     noDelay: true,
   });
+  keepUnsentResponses(server);
   server.on('connection', applyLimits);
   const app = polka({ server });
   app.use((request, response) => void handle(request, response));
--- /dev/null
+++ b/test/faults/pipelinedCalls.test.ts
@@ -0,0 +1,87 @@
+/** Requests that a caller sends on one connection without waiting for the answers before them. */
+
+import assert from 'node:assert/strict';
+import { connect, type Socket } from 'node:net';
+import { after, beforeEach, describe, it } from 'node:test';
+import { delay } from '../fixtures/deployment.js';
+import {
+  addRoutes,
+  createGatewayDeployment,
+  createTableBody,
+  type GatewayDeployment,
+} from '../fixtures/gatewayDeployment.js';
+
+const ANSWER_BYTES = 250_000;
+/** More answers than the buffers of a connection on loopback hold. */
+const LARGE_CALL_COUNT = 60;
+/** Time that the endpoint takes for a large answer, and the gateway to forward it. */
+const ANSWERED_MS = 2_000;
+/** Time after the signal at which the caller reads on. */
+const PAUSE_MS = 3_500;
+
+describe('a stopping gateway', () => {
+  let deployment: GatewayDeployment;
+
+  beforeEach(async () => {
+    await deployment?.stop();
+    const plan = { slots: 100, workMs: 100 };
+    deployment = await createGatewayDeployment([
+      { ...plan, id: 'desk-a', pool: 'desk' },
+      { ...plan, id: 'large-a', pool: 'large', answerBytes: ANSWER_BYTES },
+    ]);
+    const route = { name: 'large', service: 'large', fields: {} };
+    assert.equal(await deployment.declare(addRoutes(createTableBody(1), [route])), 200);
+    await deployment.waitServing();
+  });
+
+  after(() => deployment.stop());
+
+  function open(): Socket {
+    const [host, port] = deployment.getGatewayAddress(0).split(':');
+    const socket = connect(Number(port), host);
+    socket.setEncoding('latin1');
+    socket.on('error', () => {});
+    return socket;
+  }
+
+  function formatCalls(path: string, ids: readonly string[]): string {
+    return ids
+      .map(
+        (id) => `GET ${path} HTTP/1.1\r\nHost: a.example\r\nTurmericrack-Attempt-Id: ${id}\r\n\r\n`,
+      )
+      .join('');
+  }
+
+  async function readAll(socket: Socket): Promise<string> {
+    let text = '';
+    socket.on('data', (part: string) => {
+      text += part;
+    });
+    const closed = new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    socket.resume();
+    await closed;
+    return text;
+  }
+
+  function countArrivals(ids: readonly string[]): number {
+    const arrivals = deployment.endpoints.flatMap((endpoint) => endpoint.arrivals);
+    return arrivals.filter((id) => ids.includes(id)).length;
+  }
+
+  it('cuts off no answer that its caller reads late', async () => {
+    const ids = Array.from({ length: LARGE_CALL_COUNT }, (_unused, index) => `large-${index}`);
+    const socket = open();
+    socket.pause();
+    socket.write(formatCalls('/large/1', ids));
+    await delay(ANSWERED_MS);
+    deployment.getProcess('gateway-0').signal('SIGTERM');
+    await delay(PAUSE_MS);
+    const text = await readAll(socket);
+    const bodies = text.match(/answer to large-\d+ +/g) ?? [];
+    const whole = bodies.filter(({ length }) => length === ANSWER_BYTES);
+    assert.equal(whole.length, countArrivals(ids));
+    assert.equal(await deployment.getProcess('gateway-0').exited, 0);
+  });
+});
--- /dev/null
+++ b/test/unit/common/httpServer.test.ts
@@ -0,0 +1,62 @@
+/** How a server closes while responses are still on their way. */
+
+import assert from 'node:assert/strict';
+import { connect, type Socket } from 'node:net';
+import { describe, it } from 'node:test';
+import polka from 'polka';
+import { startServer, type RunningServer } from '../../../src/common/httpServer.js';
+import { delay } from '../../fixtures/deployment.js';
+import { getFreePort } from '../../fixtures/ports.js';
+
+/** More than the buffers of a connection on loopback hold. */
+const BODY_BYTES = 24 * 1024 * 1024;
+const PAUSE_MS = 500;
+/** Time that the platform leaves a process to stop. */
+const STOP_LIMIT_MS = 8_000;
+
+async function startLargeServer(): Promise<{ server: RunningServer; port: number }> {
+  const port = await getFreePort();
+  const app = polka();
+  app.get('/', (_request, response) => {
+    response.setHeader('Content-Length', BODY_BYTES);
+    response.end(Buffer.alloc(BODY_BYTES));
+  });
+  return { server: await startServer(app, `127.0.0.1:${port}`), port };
+}
+
+/** Sends a request and does not read its response yet. */
+async function sendRequest(port: number): Promise<Socket> {
+  const socket = connect(port, '127.0.0.1');
+  socket.on('error', () => {});
+  socket.pause();
+  socket.write('GET / HTTP/1.1\r\nHost: a.example\r\n\r\n');
+  await delay(PAUSE_MS);
+  return socket;
+}
+
+describe('a closing server', () => {
+  it('sends the whole of a response that its caller reads late', async () => {
+    const { server, port } = await startLargeServer();
+    const socket = await sendRequest(port);
+    const closed = server.close();
+    await delay(PAUSE_MS);
+    let size = 0;
+    socket.on('data', (chunk) => {
+      size += chunk.length;
+    });
+    socket.resume();
+    await closed;
+    await delay(PAUSE_MS);
+    assert.ok(size >= BODY_BYTES, `${size} bytes`);
+    socket.destroy();
+  });
+
+  it('does not wait for a caller that never reads its response', async () => {
+    const { server, port } = await startLargeServer();
+    const socket = await sendRequest(port);
+    const closedAt = performance.now();
+    await server.close();
+    assert.ok(performance.now() - closedAt < STOP_LIMIT_MS);
+    socket.destroy();
+  });
+});
