Answer all requests of a connection that a stopping gateway closes

What callers saw: of several requests on one connection of a stopping gateway, only the first was answered. The others had been sent to endpoints and had run, and their answers were dropped, also those of requests that may not be repeated.

Cause: each response that began while the gateway stopped said "Connection: close", and Node.js closes the connection after it, whatever else has been read from it. A request that arrived behind such a response was admitted and sent to an endpoint as well.

Why it works: only the newest request of a connection announces its end, and a request that is read behind the announcement is neither admitted nor answered; its caller learns from the closed connection that it was not read. Both are decided in the same turn of the event loop, so none is in between.

--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers: parses and admits requests and starts a handler for each. */
 
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
 import polka from 'polka';
 import type { Clock } from '../common/clock.js';
@@ -62,6 +63,9 @@
   const { clock, logger, dialect } = host;
   const estimator = createWorkEstimator();
   const handlers = new Set<CallHandler>();
+  const newestResponses = new WeakMap<Socket, ServerResponse>();
+  /** Connections that are closed after a response that has begun. */
+  const closingSockets = new WeakSet<Socket>();
   let openCount = 0;
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
@@ -96,7 +100,11 @@
   }
 
   async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { socket } = request;
+    // Its caller has sent it before it has read that the connection ends with an earlier response.
+    if (closingSockets.has(socket)) return;
     const arrivedAt = clock.now();
+    newestResponses.set(socket, response);
     openCount += 1;
     let handler: CallHandler | undefined;
     let isClosed = false;
@@ -109,7 +117,7 @@
     });
     const writer = createResponseWriter(
       response,
-      () => host.drain.isStarted,
+      () => closesConnection(socket, response),
       () => handler?.resume(),
     );
     const head = dialect.tryParseRequest(request);
@@ -132,7 +140,7 @@
     handlers.add(handler);
 
     function isCallerGone(): boolean {
-      return isClosed || request.socket.readableEnded;
+      return isClosed || socket.readableEnded;
     }
 
     function endAbandoned({ id }: RequestHead): void {
@@ -141,6 +149,13 @@
     }
   }
 
+  /** Decides whether the connection is closed after a response that begins now. */
+  function closesConnection(socket: Socket, response: ServerResponse): boolean {
+    if (!host.drain.isStarted || newestResponses.get(socket) !== response) return false;
+    closingSockets.add(socket);
+    return true;
+  }
+
   /** Reads and admits a request; returns undefined if it has been refused. */
   async function tryCreateCall(
     request: IncomingMessage,
--- a/test/faults/pipelinedCalls.test.ts
+++ b/test/faults/pipelinedCalls.test.ts
@@ -18,6 +18,8 @@
 const ANSWERED_MS = 2_000;
 /** Time after the signal at which the caller reads on. */
 const PAUSE_MS = 3_500;
+const SMALL_CALL_COUNT = 4;
+const STOPPING_MS = 200;
 
 describe('a stopping gateway', () => {
   let deployment: GatewayDeployment;
@@ -84,4 +86,30 @@
     assert.equal(whole.length, countArrivals(ids));
     assert.equal(await deployment.getProcess('gateway-0').exited, 0);
   });
+
+  it('answers all requests of a connection that it closes', async () => {
+    deployment.getProcess('gateway-0').signal('SIGTERM');
+    await delay(STOPPING_MS);
+    const ids = Array.from({ length: SMALL_CALL_COUNT }, (_unused, index) => `small-${index}`);
+    const socket = open();
+    socket.write(formatCalls('/once/1', ids));
+    const text = await readAll(socket);
+    const bodies = text.match(/answer to small-\d+/g) ?? [];
+    assert.equal(bodies.length, countArrivals(ids));
+    assert.equal(bodies.length, SMALL_CALL_COUNT);
+  });
+
+  it('runs no request that arrives after the last answer of its connection has begun', async () => {
+    deployment.getProcess('gateway-0').signal('SIGTERM');
+    await delay(STOPPING_MS);
+    const socket = open();
+    const ids = Array.from({ length: SMALL_CALL_COUNT }, (_unused, index) => `large-${index}`);
+    const text = readAll(socket);
+    for (const id of ids) {
+      socket.write(formatCalls('/large/1', [id]));
+      await delay(STOPPING_MS / ids.length);
+    }
+    const bodies = (await text).match(/answer to large-\d+ +/g) ?? [];
+    assert.equal(bodies.length, countArrivals(ids));
+  });
 });
