Close no connection of a stopping server before its first request

A caller that had just connected to a stopping server lost its connection before it could send its request, since a connection that had received nothing counted as idle. It now counts only after a response has ended on it, as with Node.js itself.

--- a/src/common/idleConnections.ts
+++ b/src/common/idleConnections.ts
@@ -12,8 +12,8 @@
 /** An open connection. */
 interface Connection {
   openResponses: Set<ServerResponse>;
-  /** Bytes received when the connection was last idle. */
-  bytesWhenIdle: number;
+  /** Bytes received when a response last ended; undefined before that. */
+  bytesAtResponse: number | undefined;
   hasStallTimeout: boolean;
 }
 
@@ -27,7 +27,7 @@
   server.on('connection', (socket) => {
     connections.set(socket, {
       openResponses: new Set(),
-      bytesWhenIdle: 0,
+      bytesAtResponse: undefined,
       hasStallTimeout: false,
     });
     socket.once('close', () => connections.delete(socket));
@@ -38,7 +38,7 @@
     connection.openResponses.add(response);
     response.once('close', () => {
       connection.openResponses.delete(response);
-      connection.bytesWhenIdle = socket.bytesRead;
+      connection.bytesAtResponse = socket.bytesRead;
     });
   });
   server.closeIdleConnections = () => {
@@ -49,9 +49,12 @@
   };
 }
 
-/** Whether no response is open and no part of the next request has arrived. */
-function isIdle(socket: Socket, { openResponses, bytesWhenIdle }: Connection): boolean {
-  return openResponses.size === 0 && socket.bytesRead === bytesWhenIdle;
+/**
+ * Whether a response has ended, none is open and no part of the next request has arrived. A caller
+ * that has just connected is about to send its first request.
+ */
+function isIdle(socket: Socket, { openResponses, bytesAtResponse }: Connection): boolean {
+  return openResponses.size === 0 && socket.bytesRead === bytesAtResponse;
 }
 
 /** Closes the connection if its caller stops to read a response that is complete. */
--- a/test/unit/common/httpServer.test.ts
+++ b/test/unit/common/httpServer.test.ts
@@ -51,6 +51,24 @@
     socket.destroy();
   });
 
+  it('answers the first request of a caller that had just connected', async () => {
+    const { server, port } = await startLargeServer();
+    const socket = connect(port, '127.0.0.1');
+    socket.on('error', () => {});
+    await delay(PAUSE_MS);
+    const closed = server.close();
+    await delay(PAUSE_MS);
+    let size = 0;
+    socket.on('data', (chunk) => {
+      size += chunk.length;
+    });
+    socket.write('GET / HTTP/1.1\r\nHost: a.example\r\n\r\n');
+    await closed;
+    await delay(PAUSE_MS);
+    assert.ok(size >= BODY_BYTES, `${size} bytes`);
+    socket.destroy();
+  });
+
   it('does not wait for a caller that never reads its response', async () => {
     const { server, port } = await startLargeServer();
     const socket = await sendRequest(port);
