Keep what was acknowledged when the disk of a keeper fails, and wait for it

Operators saw processes end by themselves and accepted changes gone.

Causes, all of one class: operations of the disk whose failure was not followed to its end. - A batch that was written in part had to be removed by a truncation before it was appended again. If the truncation failed once, the whole batch followed its part, later batches were acknowledged, and the next start found a damaged batch and put the whole folder aside. - The syncs of the folder, the reopening of the log, the first identity file, and all of the start were outside the retries: a full or failing disk there ended the process. So did a missing descriptor (EMFILE) and a remount for reading only (EROFS). - A folder that could not be looked at (existsSync is false after any error) counted as new, and would have got a new identity. - A stop waited for as long as the disk was full. - The name for a damaged folder could be taken.

A batch is now written at its own position, so that a retry overwrites the part of an earlier attempt and makes pages dirty again that a failed sync dropped. The start writes the last batch again before it is trusted: after a failed sync it may be in memory only. Opening and moving aside retry until a signal aborts them, and closing ends the retries of writes.

Looked at elsewhere: the crash records and stream origins retry or write their file as a whole after an error, and need no change for this. EACCES, ENOTDIR and the like still end a start, as only an operator can mend them.

--- a/src/daemon/keeperProcess.ts
+++ b/src/daemon/keeperProcess.ts
@@ -149,16 +149,22 @@
   };
 }
 
-async function openOrReplaceStore(folder: string, clock: Clock, logger: Logger): Promise<Store> {
+/** Raises `unavailable` if `signal` is aborted while the disk is full or fails. */
+async function openOrReplaceStore(
+  folder: string,
+  clock: Clock,
+  logger: Logger,
+  signal?: AbortSignal,
+): Promise<Store> {
   try {
-    const store = await openStore(folder, logger);
+    const store = await openStore(folder, logger, signal);
     if (store.state.tornBytes > 0) logger.event('logTailCut', { bytes: store.state.tornBytes });
     return store;
   } catch (caught) {
     const failure = toFailure(caught);
     if (failure.kind !== 'storeCorrupt') throw caught;
     logger.event('storeCorrupt', { reason: failure.reason });
-    quarantineStore(folder, clock.wallTime());
-    return openStore(folder, logger);
+    await quarantineStore(folder, clock.wallTime(), logger, signal);
+    return openStore(folder, logger, signal);
   }
 }
--- a/src/keeper/replica.ts
+++ b/src/keeper/replica.ts
@@ -14,6 +14,7 @@
   Replica,
   SnapshotFile,
 } from '../generated/keeper.js';
+import { delay } from '../common/delay.js';
 import { RaisedFailure } from '../common/failure.js';
 import { createReadIndexRequests } from './readIndex.js';
 import { createRaft, type Raft, type Ready } from './raft.js';
@@ -25,6 +26,8 @@
 
 const TICK_INTERVAL_MS = 20;
 const PROPOSAL_TIMEOUT_MS = 5_000;
+/** Maximum time that a stop waits for an operation of the disk that does not return. */
+const STORE_CLOSE_TIMEOUT_MS = 2_000;
 const MAX_TRAILING_ENTRIES = 500;
 const DEFAULT_SNAPSHOT_THRESHOLD_ENTRIES = 10_000;
 /** Total size of applied table documents and ticket bodies that triggers a snapshot. */
@@ -176,6 +179,8 @@
     if (isLoopRunning || isStopped) return;
     isLoopRunning = true;
     loopDone = runReadyLoop().catch((caught) => {
+      // A stop ends the operations of the store that wait for the disk.
+      if (isStopped) return;
       isStopped = true;
       host.onFatal(caught);
     });
@@ -299,12 +304,17 @@
     isStopped = true;
     clearInterval(timer);
     readIndexRequests.close();
-    await loopDone;
+    const closed = Promise.all([store.close(), loopDone]);
+    await Promise.race([closed, delay(STORE_CLOSE_TIMEOUT_MS)]);
+    rejectProposals('the keeper stops');
+  }
+
+  function rejectProposals(reason: string): void {
     for (const proposal of proposals.values()) {
       clearTimeout(proposal.timer);
-      proposal.reject(createUnavailableError('the keeper stops'));
+      proposal.reject(createUnavailableError(reason));
     }
-    await store.close();
+    proposals.clear();
   }
 }
 
--- a/src/keeper/store.ts
+++ b/src/keeper/store.ts
@@ -2,13 +2,14 @@
  * Durable state of a keeper: the files `identity`, `log` and `snapshot` in its data folder.
  * The log is a sequence of batches, each of them one record with everything that one synced write
  * added. A batch is written only after the previous one is synced, so a power loss can damage only
- * the last one.
+ * the last one. A batch whose write or sync failed is written again as a whole to the same place, so
+ * that neither a part of it stays nor pages count as synced that the failed sync dropped.
  */
 
 import { randomUUID } from 'node:crypto';
-import { existsSync, mkdirSync, readFileSync, renameSync } from 'node:fs';
-import { open } from 'node:fs/promises';
-import { join } from 'node:path';
+import { existsSync, mkdirSync, readFileSync } from 'node:fs';
+import { open, rename, type FileHandle } from 'node:fs/promises';
+import { dirname, join } from 'node:path';
 import { raise } from '../common/failure.js';
 import type { Logger } from '../common/logging.js';
 import {
@@ -17,11 +18,13 @@
   type HardState,
   type LogEntry,
   type LogRecord,
+  type SnapshotHeader,
 } from '../generated/keeper.js';
 import type { InitialRaftState } from './raftCore.js';
 import { emptySnapshotHeader } from './raftLog.js';
 import {
   encodeRecord,
+  openReplacement,
   readRecord,
   RECORD_HEADER_BYTES,
   replaceFile,
@@ -54,29 +57,46 @@
     hardState: HardState,
     entries: readonly LogEntry[],
   ): Promise<number>;
+  /** Resolves after the operation that runs, which is not retried any more and then rejects. */
   close(): Promise<void>;
 }
 
-/** Opens or creates the store in `folder`. Raises `storeCorrupt`. */
-export async function openStore(folder: string, logger: Logger): Promise<Store> {
-  mkdirSync(folder, { recursive: true });
-  const storeId = await readStoreId(folder);
-  const logPath = join(folder, 'log');
+/** Files of an open store, and what they contained. */
+interface OpenFiles {
+  storeId: string;
+  snapshot: SnapshotFile | undefined;
+  recovered: RecoveredLog;
+  log: FileHandle;
+}
+
+/**
+ * Opens or creates the store in `folder`. Waits while the disk is full or fails, until `signal` is
+ * aborted; then raises `unavailable`. Raises `storeCorrupt`.
+ */
+export async function openStore(
+  folder: string,
+  logger: Logger,
+  signal?: AbortSignal,
+): Promise<Store> {
   const snapshotPath = join(folder, 'snapshot');
-  const snapshot = readSnapshot(snapshotPath);
-  const recovered = recoverLog(logPath, snapshot);
-  let log = await open(logPath, 'a');
+  const logPath = join(folder, 'log');
+  const closing = new AbortController();
+  const { storeId, snapshot, recovered, ...opened } = await retryOnDiskError(
+    logger,
+    'open the store',
+    () => openFiles(folder),
+    signal,
+  );
+  let { log } = opened;
   let logBytes = recovered.validBytes;
-  await log.truncate(recovered.validBytes);
-  await log.datasync();
-  await syncFolder(folder);
+  let running = Promise.resolve();
 
   return {
     storeId,
     state: { initial: recovered.initial, snapshot, tornBytes: recovered.tornBytes },
     write,
     saveSnapshot,
-    close: () => log.close(),
+    close,
   };
 
   async function write(
@@ -85,15 +105,9 @@
   ): Promise<void> {
     const bytes = encodeBatch(hardState, entries);
     if (bytes.length === 0) return;
-    await retryOnDiskError(logger, 'append to the log', async () => {
-      try {
-        await writeAll(log, bytes);
-        await log.datasync();
-      } catch (caught) {
-        // Removes what was written of the failed batch, so that it does not precede the next one.
-        await log.truncate(logBytes);
-        throw caught;
-      }
+    await retry('append to the log', async () => {
+      await writeAll(log, bytes, logBytes);
+      await log.datasync();
     });
     logBytes += bytes.length;
   }
@@ -105,38 +119,109 @@
   ): Promise<number> {
     const payload = Buffer.from(SnapshotFile.encode(next).finish());
     const records = encodeBatch(hardState, entries);
-    await retryOnDiskError(logger, 'write the snapshot', () =>
-      replaceFile(snapshotPath, encodeRecord(payload)),
-    );
-    // The truncated log must not become durable before the snapshot that it depends on.
-    await syncFolder(folder);
-    await retryOnDiskError(logger, 'truncate the log', () => replaceFile(logPath, records));
-    await syncFolder(folder);
-    await log.close();
-    log = await open(logPath, 'a');
+    await retry('write the snapshot', async () => {
+      await replaceFile(snapshotPath, encodeRecord(payload));
+      // The truncated log must not become durable before the snapshot that it depends on.
+      await syncFolder(folder);
+    });
+    await retry('truncate the log', () => replaceLog(records));
     logBytes = records.length;
     return payload.length;
   }
+
+  async function replaceLog(records: Buffer): Promise<void> {
+    const previous = log;
+    log = await openReplacement(logPath, records);
+    await previous.close().catch(() => {});
+    await syncFolder(folder);
+  }
+
+  async function retry(operation: string, run: () => Promise<void>): Promise<void> {
+    if (closing.signal.aborted) raise({ kind: 'unavailable', reason: 'the store is closed' });
+    const attempts = retryOnDiskError(logger, operation, run, closing.signal);
+    running = attempts.catch(() => {});
+    await attempts;
+  }
+
+  async function close(): Promise<void> {
+    closing.abort();
+    await running;
+    await log.close();
+  }
+}
+
+/**
+ * Renames a corrupt data folder to a name that is not taken, so that the keeper can rejoin as a new
+ * member. Waits while the disk is full or fails, like `openStore`.
+ */
+export async function quarantineStore(
+  folder: string,
+  wallTime: number,
+  logger: Logger,
+  signal?: AbortSignal,
+): Promise<void> {
+  await retryOnDiskError(logger, 'move the store aside', () => moveAside(folder, wallTime), signal);
+}
+
+async function moveAside(folder: string, wallTime: number): Promise<void> {
+  if (existsSync(folder)) {
+    let suffix = wallTime;
+    while (existsSync(`${folder}.corrupt-${suffix}`)) suffix += 1;
+    await rename(folder, `${folder}.corrupt-${suffix}`);
+  }
+  await syncFolder(dirname(folder));
 }
 
-/** Renames a corrupt data folder, so that the keeper can rejoin as a new member. */
-export function quarantineStore(folder: string, wallTime: number): void {
-  renameSync(folder, `${folder}.corrupt-${wallTime}`);
+async function openFiles(folder: string): Promise<OpenFiles> {
+  mkdirSync(folder, { recursive: true });
+  await syncFolder(dirname(folder));
+  const logPath = join(folder, 'log');
+  const logBytes = tryReadFile(logPath);
+  const snapshotBytes = tryReadFile(join(folder, 'snapshot'));
+  const isNew = logBytes === undefined && snapshotBytes === undefined;
+  const storeId = await readStoreId(folder, isNew);
+  if (logBytes === undefined && snapshotBytes !== undefined) {
+    raise({ kind: 'storeCorrupt', reason: 'no log beside the snapshot' });
+  }
+  const snapshot = snapshotBytes === undefined ? undefined : decodeSnapshot(snapshotBytes);
+  const recovered = recoverLog(logBytes ?? Buffer.alloc(0), snapshot);
+  const log = await open(logPath, logBytes === undefined ? 'w+' : 'r+');
+  try {
+    await log.truncate(recovered.validBytes);
+    // If its sync failed before a restart, the last batch may be in memory only, with nothing left
+    // to sync.
+    await writeAll(log, recovered.lastBatch, recovered.validBytes - recovered.lastBatch.length);
+    await log.datasync();
+    await syncFolder(folder);
+  } catch (caught) {
+    await log.close().catch(() => {});
+    throw caught;
+  }
+  return { storeId, snapshot, recovered, log };
 }
 
-async function readStoreId(folder: string): Promise<string> {
+async function readStoreId(folder: string, isNew: boolean): Promise<string> {
   const path = join(folder, 'identity');
-  if (existsSync(path)) return readFileSync(path, 'utf8').trim();
-  if (existsSync(join(folder, 'log'))) raise({ kind: 'storeCorrupt', reason: 'no identity file' });
+  const bytes = tryReadFile(path);
+  if (bytes !== undefined) return bytes.toString().trim();
+  if (!isNew) raise({ kind: 'storeCorrupt', reason: 'no identity file' });
   const storeId = randomUUID();
   await replaceFile(path, Buffer.from(`${storeId}\n`));
   await syncFolder(folder);
   return storeId;
 }
 
-function readSnapshot(path: string): SnapshotFile | undefined {
-  if (!existsSync(path)) return undefined;
-  const bytes = readFileSync(path);
+/** Returns undefined if there is no such file. Any other error is thrown. */
+function tryReadFile(path: string): Buffer | undefined {
+  try {
+    return readFileSync(path);
+  } catch (caught) {
+    if ((caught as NodeJS.ErrnoException).code === 'ENOENT') return undefined;
+    throw caught;
+  }
+}
+
+function decodeSnapshot(bytes: Buffer): SnapshotFile {
   const record = readRecord(bytes, 0);
   if (record.kind !== 'record') raise({ kind: 'storeCorrupt', reason: 'snapshot is damaged' });
   return SnapshotFile.decode(record.payload);
@@ -146,13 +231,15 @@
   initial: InitialRaftState;
   validBytes: number;
   tornBytes: number;
+  /** Bytes of the last valid batch; empty if there is none. */
+  lastBatch: Buffer;
 }
 
-function recoverLog(path: string, snapshot: SnapshotFile | undefined): RecoveredLog {
-  const bytes = existsSync(path) ? readFileSync(path) : Buffer.alloc(0);
+function recoverLog(bytes: Buffer, snapshot: SnapshotFile | undefined): RecoveredLog {
   const header = snapshot?.header ?? emptySnapshotHeader;
   let hardState: HardState = { term: 0, votedFor: '' };
   const entries: LogEntry[] = [];
+  let lastBatch: Buffer = Buffer.alloc(0);
   let offset = 0;
   while (offset < bytes.length) {
     const batch = readRecord(bytes, offset);
@@ -161,19 +248,20 @@
       if (!hasRecordAfter(bytes, offset)) break;
       raise({ kind: 'storeCorrupt', reason: `damaged batch at byte ${offset}` });
     }
+    lastBatch = bytes.subarray(offset, batch.end);
     offset = batch.end;
     for (const { record } of LogBatch.decode(batch.payload).records) {
       if (record?.$case === 'hardState') hardState = record.value;
-      if (record?.$case === 'entry') insertEntry(entries, record.value, header.index);
+      if (record?.$case === 'entry') insertEntry(entries, record.value, header);
     }
   }
   const initial = { hardState, header, entries };
-  return { initial, validBytes: offset, tornBytes: bytes.length - offset };
+  return { initial, validBytes: offset, tornBytes: bytes.length - offset, lastBatch };
 }
 
-function insertEntry(entries: LogEntry[], entry: LogEntry, snapshotIndex: number): void {
-  if (entry.index <= snapshotIndex) return;
-  const position = entry.index - snapshotIndex - 1;
+function insertEntry(entries: LogEntry[], entry: LogEntry, header: SnapshotHeader): void {
+  if (entry.index <= header.index) return;
+  const position = entry.index - header.index - 1;
   if (position > entries.length) raise({ kind: 'storeCorrupt', reason: `gap at ${entry.index}` });
   entries.length = position;
   entries.push(entry);
--- /dev/null
+++ b/test/unit/keeper/replicaDisk.test.ts
@@ -0,0 +1,84 @@
+/** A replica whose disk does not return from a write. */
+
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import { SystemClock } from '../../../src/common/clock.js';
+import { RaisedFailure } from '../../../src/common/failure.js';
+import type { Command, Replica } from '../../../src/generated/keeper.js';
+import { emptySnapshotHeader } from '../../../src/keeper/raftLog.js';
+import { createReplica, type RunningReplica } from '../../../src/keeper/replica.js';
+import type { Store } from '../../../src/keeper/store.js';
+import { delay, waitFor } from '../../fixtures/deployment.js';
+
+const self: Replica = { id: 'k0', storeId: 's0', address: 'k0', operatorAddress: '' };
+const command: Command = { change: { $case: 'drainRequest', value: { id: 'x', draining: false } } };
+/** A caller of the operators' interface gives up after 5 s. */
+const EARLY_ANSWER_MS = 2_000;
+
+/** Store in memory whose writes wait while `isStalled`. */
+function createStallingStore() {
+  const membership = { voters: [self], learners: [] };
+  const payload = { $case: 'membership' as const, value: membership };
+  const stalls = { isStalled: false, isClosed: false };
+  const store: Store = {
+    storeId: self.storeId,
+    state: {
+      initial: {
+        hardState: { term: 1, votedFor: '' },
+        header: emptySnapshotHeader,
+        entries: [{ index: 1, term: 1, payload }],
+      },
+      snapshot: undefined,
+      tornBytes: 0,
+    },
+    async write() {
+      while (stalls.isStalled && !stalls.isClosed) await delay(10);
+      if (stalls.isClosed) throw new RaisedFailure({ kind: 'unavailable', reason: 'closed' });
+    },
+    saveSnapshot: () => Promise.resolve(0),
+    close() {
+      stalls.isClosed = true;
+      return Promise.resolve();
+    },
+  };
+  return { store, stalls };
+}
+
+describe('a replica whose disk is stalled', () => {
+  let replica: RunningReplica;
+  let stalls: ReturnType<typeof createStallingStore>['stalls'];
+  let fatal: unknown;
+
+  beforeEach(async () => {
+    const created = createStallingStore();
+    ({ stalls } = created);
+    fatal = undefined;
+    const host = {
+      clock: new SystemClock(),
+      logger: { event() {} },
+      measures: { count() {}, timing() {}, gauge() {}, close() {} },
+      send() {},
+      onApplied() {},
+      onRoleChange() {},
+      onFatal(caught: unknown) {
+        fatal = caught;
+      },
+    };
+    const options = { deployment: 'test', self, snapshotEntries: undefined };
+    replica = createReplica(host, options, created.store);
+    await waitFor('the replica to serve', () => replica.isServing);
+  });
+
+  afterEach(() => replica.stop());
+
+  it('stops in time without acknowledging what is not synced', async () => {
+    stalls.isStalled = true;
+    const rejected = assert.rejects(replica.propose(command), RaisedFailure);
+    await delay(50);
+    const startedAt = performance.now();
+    await replica.stop();
+    await rejected;
+    assert.ok(performance.now() - startedAt < EARLY_ANSWER_MS);
+    assert.equal(fatal, undefined);
+  });
+});
