Answer all requests of a connection that any other stopping server closes

Why it works: a response that is not the newest of its connection, and whose head has not been sent, no longer ends it. If its head has been sent, the connection still ends with it, and a request that arrives behind it may run unanswered; only streams of entries have such heads, and only their callers that do not wait for an answer are concerned.

--- a/src/common/httpServer.ts
+++ b/src/common/httpServer.ts
@@ -1,6 +1,6 @@
 /** Functions that the HTTP servers of all roles share. */
 
-import type { IncomingMessage, Server } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Polka } from 'polka';
 import { raise, RaisedFailure } from './failure.js';
@@ -74,6 +74,7 @@
   const sockets = new Set<Socket>();
   /** The newest request of each connection whose response has not ended. */
   const requests = new Map<Socket, IncomingMessage>();
+  const newestResponses = new WeakMap<Socket, ServerResponse>();
   let isClosing = false;
   if (server === undefined) return { close: () => Promise.resolve() };
   server.keepAliveTimeout = keepAliveMs;
@@ -88,7 +89,12 @@
     response.once('close', () => {
       if (requests.get(socket) === request) requests.delete(socket);
     });
-    if (isClosing) response.shouldKeepAlive = false;
+    const earlier = newestResponses.get(socket);
+    newestResponses.set(socket, response);
+    if (!isClosing) return;
+    // The connection ends after its last response only.
+    if (earlier?.headersSent === false) earlier.shouldKeepAlive = true;
+    response.shouldKeepAlive = false;
   });
 
   return { close: () => close(server) };
--- a/test/unit/common/httpServer.test.ts
+++ b/test/unit/common/httpServer.test.ts
@@ -1,6 +1,7 @@
 /** How a server closes while responses are still on their way. */
 
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
 import { describe, it } from 'node:test';
 import polka from 'polka';
@@ -69,6 +70,28 @@
     socket.destroy();
   });
 
+  it('answers all requests that a caller sends at once', async () => {
+    const port = await getFreePort();
+    const app = polka();
+    app.get('/:name', (request, response) => {
+      setTimeout(() => response.end(`answer to ${request.params.name}`), PAUSE_MS);
+    });
+    const server = await startServer(app, `127.0.0.1:${port}`);
+    const socket = connect(port, '127.0.0.1');
+    socket.write('GET /early HTTP/1.1\r\nHost: a.example\r\n\r\n');
+    await delay(PAUSE_MS / 2);
+    const closed = server.close();
+    const names = ['first', 'second', 'third'];
+    socket.write(names.map((name) => `GET /${name} HTTP/1.1\r\nHost: a.example\r\n\r\n`).join(''));
+    let text = '';
+    socket.on('data', (chunk) => {
+      text += String(chunk);
+    });
+    await once(socket, 'close');
+    await closed;
+    for (const name of ['early', ...names]) assert.ok(text.includes(`answer to ${name}`), name);
+  });
+
   it('does not wait for a caller that never reads its response', async () => {
     const { server, port } = await startLargeServer();
     const socket = await sendRequest(port);
