Give up the start of a keeper that waits for its disk when it is to stop

A keeper that started on a full or failing disk waited in openStore whatever signals came; the platform would have killed it. The abort signal of the start now reaches the retries of the store. The tests of the store show that an aborted open raises; no test fills the disk of a whole process that starts.

--- a/src/daemon/keeperProcess.ts
+++ b/src/daemon/keeperProcess.ts
@@ -38,7 +38,7 @@
   adapter: Adapter | undefined,
 ): Promise<RunningProcess> {
   const folder = join(settings.keeper.dataFolder, 'keeper');
-  let store = await openOrReplaceStore(folder, clock, logger);
+  let store = await openOrReplaceStore(folder, clock, logger, stopping);
   const self: Replica = {
     id: settings.id,
     storeId: store.storeId,
@@ -101,7 +101,7 @@
   if (bootstrapDecision?.kind === 'form') {
     await formCluster(formation, store, bootstrapDecision.voters);
     await store.close();
-    store = await openStore(folder, logger);
+    store = await openStore(folder, logger, stopping);
   }
   replica = createReplica(
     {
@@ -154,7 +154,7 @@
   folder: string,
   clock: Clock,
   logger: Logger,
-  signal?: AbortSignal,
+  signal: AbortSignal,
 ): Promise<Store> {
   try {
     const store = await openStore(folder, logger, signal);
