--- a/src/keeper/store.ts
+++ b/src/keeper/store.ts
@@ -260,7 +260,13 @@
 }
 
 function insertEntry(entries: LogEntry[], entry: LogEntry, header: SnapshotHeader): void {
-  if (entry.index <= header.index) return;
+  if (entry.index <= header.index) {
+    // It replaces whatever the log had at this index and after it.
+    entries.length = 0;
+    return;
+  }
+  // Terms never fall in a log, so this entry was written before the snapshot was installed.
+  if (entry.term < header.term) return;
   const position = entry.index - header.index - 1;
   if (position > entries.length) raise({ kind: 'storeCorrupt', reason: `gap at ${entry.index}` });
   entries.length = position;
--- a/test/unit/keeper/storeFaults.test.ts
+++ b/test/unit/keeper/storeFaults.test.ts
@@ -166,6 +166,27 @@
     rmSync(names[1] ?? '', { recursive: true });
   });
 
+  it('drops entries that are older than a snapshot installed before a power loss', async () => {
+    const store = await openStore(folder, logger);
+    const entries = [1, 2, 3, 4].map((index) => createEntry(index));
+    await store.write({ term: 1, votedFor: '' }, entries);
+    await store.write(undefined, [createEntry(2, 2)]);
+    const renames = { left: 1 };
+    startDisk((operation) => {
+      if (operation !== 'rename') return undefined;
+      renames.left -= 1;
+      return renames.left < 0 ? { code: 'EIO' } : undefined;
+    });
+    const header = { index: 2, term: 3, membership };
+    const snapshot = { header, state: Buffer.from('{}') };
+    const saved = store.saveSnapshot(snapshot, { term: 3, votedFor: '' }, []);
+    const rejected = assert.rejects(saved, RaisedFailure);
+    while (renames.left > -2) await new Promise(setImmediate);
+    await store.close();
+    await rejected;
+    assert.deepEqual(listIndexes(await readAll()), []);
+  });
+
   it(`reads back all that it acknowledged, with ${SEEDS} seeds`, async () => {
     for (let seed = 1; seed <= SEEDS; seed += 1) {
       await runSeed(seed);
