Let another keeper lead when the leader's disk does not answer

A leader that waits for a full or stalled disk sends nothing, but went on as leader until the responses of the others had been missing for 1.2 s, and its proposals stayed unanswered for up to 5 s, longer than a forwarded declaration waits.

A replica whose store has been busy for one election timeout now stops leading and answers its proposals at once: the outcome is not known. It starts no election before the disk returns, and drops the append requests that piled up, which would make followers wait for a leader that has given up. What was read keeps to the rule of confirmed leadership.

Looked at elsewhere: a follower that waits for its disk queues votes and acknowledgements, which are sent only after the sync and stay true.

--- a/src/keeper/raft.ts
+++ b/src/keeper/raft.ts
@@ -54,6 +54,8 @@
   /** Index of the last entry known to be synced to the local disk. */
   readonly persistedIndex: number;
   tick(now: number): void;
+  /** Stops leading in the current term, and drops the messages that are not taken yet. */
+  stopLeading(now: number): void;
   step(message: PeerMessage, now: number): void;
   /** Appends a command. Returns its index and term, or undefined if this replica does not lead. */
   tryPropose(command: Command): { index: number; term: number } | undefined;
@@ -117,6 +119,7 @@
       return core.persistedIndex;
     },
     tick,
+    stopLeading,
     step,
     tryPropose,
     tryProposeMembership,
@@ -136,6 +139,13 @@
     else if (time >= core.electionAt && core.isVoter(self.storeId)) election.start();
   }
 
+  function stopLeading(time: number): void {
+    if (core.role !== 'leader') return;
+    core.now = time;
+    core.becomeFollower(core.term, undefined);
+    core.outgoingMessages = [];
+  }
+
   function step(message: PeerMessage, time: number): void {
     core.now = time;
     const { from, term, body } = message;
--- a/src/keeper/replica.ts
+++ b/src/keeper/replica.ts
@@ -18,7 +18,7 @@
 import { RaisedFailure } from '../common/failure.js';
 import { createReadIndexRequests } from './readIndex.js';
 import { createRaft, type Raft, type Ready } from './raft.js';
-import type { Envelope } from './raftCore.js';
+import { ELECTION_TIMEOUT_MS, type Envelope } from './raftCore.js';
 import { getEntryPayloadBytes } from './raftLog.js';
 import { createReplicatedState, type State } from './state.js';
 import type { Store } from './store.js';
@@ -26,6 +26,8 @@
 
 const TICK_INTERVAL_MS = 20;
 const PROPOSAL_TIMEOUT_MS = 5_000;
+/** A leader whose disk does not return for this long lets another replica lead. */
+const LEADER_DISK_TIMEOUT_MS = ELECTION_TIMEOUT_MS;
 /** Maximum time that a stop waits for an operation of the disk that does not return. */
 const STORE_CLOSE_TIMEOUT_MS = 2_000;
 const MAX_TRAILING_ENTRIES = 500;
@@ -102,6 +104,8 @@
   let bytesSinceSnapshot = 0;
   let isStopped = false;
   let isLeader = false;
+  /** When the operation of the store that runs began. */
+  let storeBusySince: number | undefined;
   let snapshotWaiters: ((index: number) => void)[] = [];
   let loopDone = Promise.resolve();
   if (snapshot !== undefined) {
@@ -118,7 +122,9 @@
   );
   const readIndexRequests = createReadIndexRequests(raft, clock);
   const timer = setInterval(() => {
-    raft.tick(clock.now());
+    if (isDiskStalled()) stopLeading();
+    // Neither a heartbeat nor a vote could be sent before the disk returns.
+    else raft.tick(clock.now());
     readIndexRequests.settleDecided(appliedIndex);
     processReady();
   }, TICK_INTERVAL_MS);
@@ -199,18 +205,42 @@
     if (ready.snapshot !== undefined) await installSnapshot(ready.snapshot);
     if (ready.hardState !== undefined || ready.entries.length > 0) {
       const startedAt = clock.now();
-      await store.write(ready.hardState, ready.entries);
+      await useStore(() => store.write(ready.hardState, ready.entries));
       measures.timing('keeperSync', clock.now() - startedAt);
     }
     const last = ready.entries.at(-1);
     if (last !== undefined) raft.markPersisted(last.index, last.term);
-    for (const envelope of ready.messages) host.send(envelope);
+    for (const envelope of ready.messages) {
+      // Followers must not take a leader that has given up for one that leads.
+      const isOutdated = envelope.message.body?.$case === 'appendRequest' && raft.role !== 'leader';
+      if (!isOutdated) host.send(envelope);
+    }
     if (ready.committed.length > 0 || ready.snapshot !== undefined) applyAll(ready.committed);
   }
 
+  async function useStore<Result>(run: () => Promise<Result>): Promise<Result> {
+    storeBusySince = clock.now();
+    try {
+      return await run();
+    } finally {
+      storeBusySince = undefined;
+    }
+  }
+
+  function isDiskStalled(): boolean {
+    return storeBusySince !== undefined && clock.now() - storeBusySince > LEADER_DISK_TIMEOUT_MS;
+  }
+
+  function stopLeading(): void {
+    if (raft.role !== 'leader') return;
+    raft.stopLeading(clock.now());
+    updateRole();
+    rejectProposals('the disk of the leader does not answer');
+  }
+
   async function installSnapshot(installed: SnapshotFile): Promise<void> {
     const index = installed.header?.index ?? 0;
-    await store.saveSnapshot(installed, raft.hardState, []);
+    await useStore(() => store.saveSnapshot(installed, raft.hardState, []));
     snapshot = installed;
     state.load(installed.state);
     appliedIndex = index;
@@ -278,7 +308,7 @@
     // The new log also gets entries that are not handed out for writing yet. The next batch writes
     // these again.
     const kept = raft.log.getEntries(appliedIndex + 1, Number.POSITIVE_INFINITY);
-    const bytes = await store.saveSnapshot(next, raft.hardState, kept);
+    const bytes = await useStore(() => store.saveSnapshot(next, raft.hardState, kept));
     snapshot = next;
     bytesSinceSnapshot = 0;
     compactLog();
--- a/test/unit/keeper/replicaDisk.test.ts
+++ b/test/unit/keeper/replicaDisk.test.ts
@@ -81,4 +81,19 @@
     assert.ok(performance.now() - startedAt < EARLY_ANSWER_MS);
     assert.equal(fatal, undefined);
   });
+
+  it('stops leading soon, answers its proposals, and serves again after the disk returns', async () => {
+    stalls.isStalled = true;
+    const startedAt = performance.now();
+    await assert.rejects(
+      replica.propose(command),
+      (caught) => caught instanceof RaisedFailure && caught.failure.kind === 'unavailable',
+    );
+    assert.ok(performance.now() - startedAt < EARLY_ANSWER_MS);
+    assert.equal(replica.raft.role, 'follower');
+    assert.equal(await replica.confirmLeadership(), false);
+    stalls.isStalled = false;
+    await waitFor('the replica to serve', () => replica.isServing);
+    assert.equal((await replica.propose(command)).kind, 'member');
+  });
 });
