Let no keeper form a second cluster while another one is forming it

A keeper that is not the first of the list forms the cluster where the first one may not. If the first one starts again, now allowed to form it, while the other one waits for a slow answer or for its disk, both form one: each of the two follows answers that are true, but of different times.

Cause: the decision rested on answers alone; nothing told a keeper that starts in between that a decision was being made. A keeper now announces in its probe response that it is about to form a cluster, by naming no replica, and only then asks the others once more. One that started in between has answered that it may form, and the other one gives way, or finds that one is being formed, and waits for it.

--- a/src/daemon/keeperProcess.ts
+++ b/src/daemon/keeperProcess.ts
@@ -50,6 +50,7 @@
   const metadata = createPeerMetadata(settings);
   const peers = createPeers(metadata, (address) => resolveAddress(settings, address));
   let replica: RunningReplica | undefined;
+  let isForming = false;
   const sessions = createSessions({
     clock,
     logger,
@@ -62,6 +63,7 @@
     self,
     sessions,
     mayForm,
+    isForming: () => isForming,
     tryGetReplica: () => replica,
   });
   const server = createServer();
@@ -94,6 +96,9 @@
     deployment: settings.deployment,
     self,
     mayForm,
+    announceForming(value) {
+      isForming = value;
+    },
     getAddresses: () => seeds,
     isStopped: () => stopping.aborted,
   };
--- a/src/keeper/formation.ts
+++ b/src/keeper/formation.ts
@@ -34,6 +34,8 @@
   self: Replica;
   /** Whether this keeper may form a new cluster. */
   mayForm: boolean;
+  /** Receives whether this keeper is about to form a cluster; its probe responses then say so. */
+  announceForming(isForming: boolean): void;
   /** Addresses of all configured keepers, in any order. */
   getAddresses(): readonly string[];
   isStopped(): boolean;
@@ -48,14 +50,18 @@
 /** Whether a keeper with an empty store forms a new cluster or joins an existing one. */
 export type BootstrapDecision = { kind: 'form'; voters: Replica[] } | { kind: 'join' };
 
-/** Resolves once it is known whether this keeper forms a cluster or joins one. */
+/**
+ * Resolves once it is known whether this keeper forms a cluster or joins one. A keeper that is not
+ * the first announces that it is about to form a cluster and then asks the others once more: one
+ * that may have been started in the meantime has either answered by then or waits.
+ */
 export async function decideClusterBootstrap(host: FormationHost): Promise<BootstrapDecision> {
   const configured = [...host.getAddresses()].sort();
   const { address: ownAddress } = host.self;
   if (!host.mayForm || !configured.includes(ownAddress)) return { kind: 'join' };
   const others = configured.filter((address) => address !== ownAddress);
   const isFirst = configured[0] === ownAddress;
-  let agreeingRounds = 0;
+  let isForming = false;
   while (!host.isStopped()) {
     // The settings may name other keepers by now, which may belong to a cluster.
     const known = host.getAddresses().filter((address) => address !== ownAddress);
@@ -63,8 +69,10 @@
     const answers = await Promise.all(addresses.map((address) => tryProbe(host, address)));
     if (answers.some((answer) => answer?.initialized)) return { kind: 'join' };
     const voters = tryListVoters(host.self, answers.slice(0, others.length));
-    agreeingRounds = voters === undefined ? 0 : agreeingRounds + 1;
-    if (voters !== undefined && (isFirst || agreeingRounds > 1)) return { kind: 'form', voters };
+    const hasAskedSince = isFirst || isForming;
+    isForming = voters !== undefined;
+    host.announceForming(isForming);
+    if (voters !== undefined && hasAskedSince) return { kind: 'form', voters };
     await delay(PROBE_INTERVAL_MS);
   }
   return { kind: 'join' };
--- a/src/keeper/keeperService.ts
+++ b/src/keeper/keeperService.ts
@@ -40,6 +40,8 @@
   sessions: Sessions;
   /** Whether this keeper may form a new cluster. */
   mayForm: boolean;
+  /** Whether this keeper is about to form a cluster. */
+  isForming(): boolean;
   /** Undefined until this keeper forms or joins a cluster. */
   tryGetReplica(): RunningReplica | undefined;
 }
@@ -118,8 +120,10 @@
 
   function describeSelf(): ProbeResponse {
     const raft = host.tryGetReplica()?.raft;
+    // A keeper that is about to form a cluster is no voter of another one.
+    const isAvailable = raft !== undefined || !host.isForming();
     return {
-      replica: host.self,
+      replica: isAvailable ? host.self : undefined,
       initialized: (raft?.log.lastIndex ?? 0) > 0,
       membership: raft?.log.membership,
       leaderAddress: raft?.leader?.address ?? '',
--- /dev/null
+++ b/test/unit/keeper/formation.test.ts
@@ -0,0 +1,120 @@
+/** Decisions of keepers with empty stores on who forms the cluster. */
+
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createPeerMetadata } from '../../../src/common/rpc.js';
+import type { KeeperProcessSettings } from '../../../src/common/settings.js';
+import type { ProbeResponse, Replica } from '../../../src/generated/keeper.js';
+import { decideClusterBootstrap, type BootstrapDecision } from '../../../src/keeper/formation.js';
+import { createKeeperService } from '../../../src/keeper/keeperService.js';
+import type { Peers } from '../../../src/keeper/peers.js';
+import type { RunningReplica } from '../../../src/keeper/replica.js';
+import type { Sessions } from '../../../src/keeper/sessions.js';
+import { delay, waitFor } from '../../fixtures/deployment.js';
+
+const settings = { deployment: 'test' } as KeeperProcessSettings;
+const metadata = createPeerMetadata(settings);
+const logger = { event() {} };
+const [lowest, middle, highest] = ['10.0.0.1:7600', '10.0.0.2:7600', '10.0.0.3:7600'] as const;
+
+interface Keeper {
+  probe(): Promise<ProbeResponse>;
+  decide(network: Network): Promise<BootstrapDecision>;
+}
+
+/** Keepers by address. Answers of `highest` to `middle` take `slowMs` longer. */
+interface Network {
+  keepers: Map<string, Keeper>;
+  slowMs: number;
+}
+
+function createKeeper(address: string, mayForm: boolean): Keeper {
+  const self: Replica = { id: address, storeId: address, address, operatorAddress: '' };
+  let replica: RunningReplica | undefined;
+  let isForming = false;
+  const service = createKeeperService({
+    settings,
+    logger,
+    self,
+    sessions: {} as Sessions,
+    mayForm,
+    isForming: () => isForming,
+    tryGetReplica: () => replica,
+  });
+  return { probe, decide };
+
+  function probe(): Promise<ProbeResponse> {
+    const call = { metadata, getPeer: () => '' } as unknown as Parameters<typeof service.probe>[0];
+    return new Promise((resolve) => {
+      service.probe(call, (_error, response) => resolve(response as ProbeResponse));
+    });
+  }
+
+  async function decide(network: Network): Promise<BootstrapDecision> {
+    const decision = await decideClusterBootstrap({
+      peers: createNetworkPeers(network, address),
+      logger,
+      metadata,
+      deployment: settings.deployment,
+      self,
+      mayForm,
+      announceForming(value) {
+        isForming = value;
+      },
+      getAddresses: () => [lowest, middle, highest],
+      isStopped: () => false,
+    });
+    const lastIndex = decision.kind === 'form' ? 1 : 0;
+    replica = { raft: { log: { lastIndex } } } as RunningReplica;
+    return decision;
+  }
+}
+
+function createNetworkPeers(network: Network, source: string): Peers {
+  type Callback = (error: Error | null, response?: ProbeResponse) => void;
+  const getClient = (address: string): object => ({
+    async probe(_request: object, _metadata: object, _options: object, callback: Callback) {
+      const response = await network.keepers.get(address)?.probe();
+      if (source === middle && address === highest) await delay(network.slowMs);
+      if (response === undefined) callback(new Error('no keeper'));
+      else callback(null, response);
+    },
+  });
+  return { getClient } as unknown as Peers;
+}
+
+describe('formation', () => {
+  it('a keeper restarted while another one decides forms no second cluster', async () => {
+    const network: Network = { keepers: new Map(), slowMs: 0 };
+    const deciding = createKeeper(middle, true);
+    network.keepers.set(lowest, createKeeper(lowest, false));
+    network.keepers.set(middle, deciding);
+    network.keepers.set(highest, createKeeper(highest, false));
+    const first = deciding.decide(network);
+    await delay(100);
+    network.slowMs = 600;
+    await delay(200);
+    const restarted = createKeeper(lowest, true);
+    network.keepers.set(lowest, restarted);
+    const decisions = await Promise.all([first, restarted.decide(network)]);
+    assert.deepEqual(decisions.map(({ kind }) => kind).sort(), ['form', 'join']);
+  });
+
+  it('a keeper that gives way forms no cluster and keeps no other from forming one', async () => {
+    const network: Network = { keepers: new Map(), slowMs: 0 };
+    const waiting = createKeeper(middle, true);
+    network.keepers.set(lowest, createKeeper(lowest, false));
+    network.keepers.set(middle, waiting);
+    network.keepers.set(highest, createKeeper(highest, false));
+    const first = waiting.decide(network);
+    await delay(100);
+    const restarted = createKeeper(lowest, true);
+    network.keepers.set(lowest, restarted);
+    const decisions: BootstrapDecision[] = [];
+    for (const decision of [first, restarted.decide(network)]) {
+      void decision.then((made) => decisions.push(made));
+    }
+    await waitFor('both decide', () => decisions.length === 2, 3_000);
+    assert.deepEqual(decisions.map(({ kind }) => kind).sort(), ['form', 'join']);
+  });
+});
