Take an endpoint that refuses connections for one that has crashed

Callers could see streams with events of two software versions: an engine that had no streams crashed and started again in another version. The gateways sent it streams before its first heartbeat, took them for streams of the version before, and resumed them at engines of that one.

Cause: a crash was detected by a response that broke off only. A gateway that had nothing running at the engine learned of its end by a refused connection, which kept the engine out of use for 0.5 s, whatever was announced.

A refused connection says that nothing listens at the address. It now has the same effect as a detected crash: the endpoint is not used until an announcement of another incarnation replaces it, for 4 s at most.

Its body is that of the existing test, with the endpoint, the version and the lead as parameters; the existing test runs as before. Elsewhere: connections that time out say nothing about the process and keep their short ejection. A gateway that sends the endpoint nothing while it is down still does not learn of the crash.

--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -28,6 +28,7 @@
 
 /** Larger responses are forwarded as they arrive and not retried once they have started. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
+const REFUSED_CODE = 'ECONNREFUSED';
 
 /** Dependencies of a handler. */
 export interface CallHandlerHost {
@@ -330,7 +331,7 @@
 
   function recordFailure({ health }: Endpoint, failure: AttemptFailure): void {
     const now = clock.now();
-    if (failure.kind === 'notSent') health.recordUnreachable(now);
+    if (failure.kind === 'notSent') health.recordUnreachable(now, failure.reason === REFUSED_CODE);
     else if (failure.kind === 'unknown') health.recordBrokenResponse(now);
     else if (failure.kind === 'failed') health.recordErrorResponse(now);
   }
--- a/src/gateway/endpointHealth.ts
+++ b/src/gateway/endpointHealth.ts
@@ -39,8 +39,11 @@
   recordErrorResponse(now: number): void;
   /** Records that the endpoint did not respond, or that the response broke off. */
   recordBrokenResponse(now: number): void;
-  /** Records that no connection could be made, which ejects the endpoint at once. */
-  recordUnreachable(now: number): void;
+  /**
+   * Records that no connection could be made, which ejects the endpoint at once. `isRefused` means
+   * that nothing listens at its address, as after a crash.
+   */
+  recordUnreachable(now: number, isRefused?: boolean): void;
   /**
    * Records that the endpoint's process has ended. What answers at its address next may be another
    * incarnation, of another software version; its announcement replaces this state.
@@ -81,15 +84,20 @@
     },
     recordErrorResponse,
     recordBrokenResponse,
-    // Further requests would not get through for a while either.
-    recordUnreachable: eject,
-    recordCrash(now) {
-      eject(now);
-      keepFrom(now + RESTART_ANNOUNCEMENT_MS);
+    recordUnreachable(now, isRefused = false) {
+      if (isRefused) recordCrash(now);
+      // Further requests would not get through for a while either.
+      else eject(now);
     },
+    recordCrash,
     recordUnwanted: keepFrom,
   };
 
+  function recordCrash(now: number): void {
+    eject(now);
+    keepFrom(now + RESTART_ANNOUNCEMENT_MS);
+  }
+
   function keepFrom(until: number): void {
     awayUntil = Math.max(awayUntil, until);
   }
--- a/test/faults/streamVersions.test.ts
+++ b/test/faults/streamVersions.test.ts
@@ -193,11 +193,18 @@
   it('are not joined by a gateway that was cut off while one version joined', () =>
     takeUpOutOfStep('cut off', 'v4'));
 
-  it('are not joined while an endpoint that started again under its id is silent', async () => {
+  it('are not joined while an endpoint that started again under its id is silent', () =>
+    openDuringRestart('v1-a', 'v5', LEAD_MS));
+
+  it('are not joined by an endpoint that started again when it had no streams', () =>
+    openDuringRestart('v2-a', 'v6', 0));
+
+  /** Opens streams while an endpoint crashes and starts again in another version. */
+  async function openDuringRestart(id: string, version: string, leadMs: number): Promise<void> {
     const opened: CallerStream[] = [];
     const endings: Promise<unknown>[] = [];
-    const endpoint = deployment.endpoints.find(({ id }) => id === 'v1-a');
-    const restarted = delay(LEAD_MS).then(() => endpoint?.restartAs('v5', SILENT_MS));
+    const endpoint = deployment.endpoints.find((candidate) => candidate.id === id);
+    const restarted = delay(leadMs).then(() => endpoint?.restartAs(version, SILENT_MS));
     const endAt = performance.now() + RESTART_LOAD_MS;
     for (let gateway = 0; performance.now() < endAt; gateway = 1 - gateway) {
       lastStreamNumber += 1;
@@ -209,8 +216,8 @@
     await restarted;
     await Promise.all(endings);
     checkVersions(opened);
-    assert.ok(opened.some(({ events }) => events[0] === 'v5'));
-  });
+    assert.ok(opened.some(({ events }) => events[0] === version));
+  }
 
   it('are refused as not run if nobody knows the version that began them', async () => {
     const headers = { Resumes: 'unknown/1', 'Last-Event-Id': '3' };
--- a/test/unit/gateway/endpointHealth.test.ts
+++ b/test/unit/gateway/endpointHealth.test.ts
@@ -34,6 +34,13 @@
     assert.ok(health.isUsable(4_000, idle));
   });
 
+  it('takes an endpoint where nothing listens for one that has crashed', () => {
+    const health = createEndpointHealth();
+    health.recordUnreachable(0, true);
+    assert.ok(!health.isUsable(3_900, idle));
+    assert.ok(health.isUsable(4_000, idle));
+  });
+
   it('probes with retryable requests first', () => {
     const health = createEndpointHealth();
     health.recordUnreachable(0);
