Wait for an address that another process holds for a while

Operators saw processes end by themselves at their start: with status 1 when the address to listen on was taken (by a predecessor that had not gone yet, by a neighbour on the host, by an outgoing connection), and also when only the address of the metrics was, there without a log line.

A role listened once, and its metrics before anything else.

The metrics are served once their address is free, and a role does not wait for them. A failed bind stays with a gRPC server, so its address is tried with a plain server first; an address taken between the two still ends the process.

Elsewhere: all servers of all roles listen in the same two ways. An error event of an HTTP server that listens is still ignored, since it concerns a connection that could not be accepted.

--- a/src/common/httpServer.ts
+++ b/src/common/httpServer.ts
@@ -1,10 +1,17 @@
 /** Functions that the HTTP servers of all roles share. */
 
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import type { Socket } from 'node:net';
 import type { Polka } from 'polka';
-import { raise, RaisedFailure } from './failure.js';
+import { raise } from './failure.js';
 import { keepUnsentResponses } from './idleConnections.js';
+import { retryListening, type ListenTarget } from './listening.js';
 import { splitAddress } from './settings.js';
 
 /** Interval at which a closing server looks for connections that have become idle. */
@@ -38,18 +45,27 @@
   return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
 }
 
-/** Starts `app` on `address` (host:port). Raises `unavailable` if the address cannot be bound. */
-export function listenOn(app: Polka, address: string): Promise<void> {
+/**
+ * Starts `app` on an address. An address that is taken is tried again for a while; then
+ * `unavailable` is raised.
+ */
+export async function listenOn(app: Polka, target: ListenTarget): Promise<Server> {
+  const { host, port } = splitAddress(target.address);
+  const server = app.server ?? createServer();
+  server.on('request', app.handler as RequestListener);
+  await retryListening(target, () => tryListen(server, host, port));
+  // Errors while it listens concern single connections that could not be accepted.
+  server.on('error', () => {});
+  return server;
+}
+
+function tryListen(server: Server, host: string, port: number): Promise<void> {
   return new Promise((resolve, reject) => {
-    const { host, port } = splitAddress(address);
-    const fail = (error: Error): void => {
-      reject(new RaisedFailure({ kind: 'unavailable', reason: error.message }));
-    };
-    app.listen(port, host, (error?: Error) => {
-      if (error) fail(error);
-      else resolve();
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.removeListener('error', reject);
+      resolve();
     });
-    app.server?.on('error', fail);
   });
 }
 
@@ -66,17 +82,15 @@
 /** Starts `app` like `listenOn`; its connections stay open for `keepAliveMs` between requests. */
 export async function startServer(
   app: Polka,
-  address: string,
+  target: ListenTarget,
   keepAliveMs = DEFAULT_KEEP_ALIVE_MS,
 ): Promise<RunningServer> {
-  await listenOn(app, address);
-  const { server } = app;
+  const server = await listenOn(app, target);
   const sockets = new Set<Socket>();
   /** The newest request of each connection whose response has not ended. */
   const requests = new Map<Socket, IncomingMessage>();
   const newestResponses = new WeakMap<Socket, ServerResponse>();
   let isClosing = false;
-  if (server === undefined) return { close: () => Promise.resolve() };
   server.keepAliveTimeout = keepAliveMs;
   keepUnsentResponses(server);
   server.on('connection', (socket) => {
--- a/src/common/metricsRecorder.ts
+++ b/src/common/metricsRecorder.ts
@@ -5,6 +5,7 @@
 import { metrics } from '../generated/metrics.js';
 import type { MetricsSettings } from '../generated/schemas.js';
 import { startServer } from './httpServer.js';
+import type { Logger } from './logging.js';
 import { splitAddress } from './settings.js';
 
 type MetricName = keyof typeof metrics;
@@ -30,10 +31,13 @@
  */
 export async function createMetricsRecorder(
   settings: MetricsSettings | undefined,
+  logger: Logger,
 ): Promise<MetricsRecorder> {
   const recorders: MetricsRecorder[] = [];
   if (settings?.statsd !== undefined) recorders.push(await createStatsdRecorder(settings.statsd));
-  if (settings?.listen !== undefined) recorders.push(await createTextRecorder(settings.listen));
+  if (settings?.listen !== undefined) {
+    recorders.push(await createTextRecorder(settings.listen, logger));
+  }
   return {
     count(name, value, tags) {
       for (const recorder of recorders) recorder.count(name, value, tags);
@@ -62,7 +66,7 @@
   };
 }
 
-async function createTextRecorder(address: string): Promise<MetricsRecorder> {
+async function createTextRecorder(address: string, logger: Logger): Promise<MetricsRecorder> {
   const { default: prometheus } = await import('prom-client');
   const { Counter, Gauge, Histogram, Registry } = prometheus;
   const registry = new Registry();
@@ -85,11 +89,12 @@
   app.get('/metrics', (_request, response) => {
     void registry.metrics().then((text) => response.end(text));
   });
-  const server = await startServer(app, address);
+  // A role serves without its metrics while their address is taken.
+  const starting = startServer(app, { logger, address, timeoutMs: Number.POSITIVE_INFINITY });
   return {
     count: (name, value, tags = {}) => counters.get(name)?.inc(tags, value),
     gauge: (name, value, tags = {}) => gauges.get(name)?.set(tags, value),
     timing: (name, milliseconds, tags = {}) => histograms.get(name)?.observe(tags, milliseconds),
-    close: () => void server.close(),
+    close: () => void starting.then((server) => server.close()),
   };
 }
--- a/src/common/rpc.ts
+++ b/src/common/rpc.ts
@@ -1,5 +1,6 @@
 /** gRPC functions that all roles share: channels, peer credentials, servers and deadlines. */
 
+import { createServer as createTcpServer } from 'node:net';
 import {
   credentials,
   Metadata,
@@ -11,6 +12,8 @@
 } from '@grpc/grpc-js';
 import type { Settings } from '../generated/schemas.js';
 import { RaisedFailure } from './failure.js';
+import { retryListening, type ListenTarget } from './listening.js';
+import { splitAddress } from './settings.js';
 
 const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
 const KEEPALIVE_INTERVAL_MS = 2_000;
@@ -62,8 +65,26 @@
   return { code: status.PERMISSION_DENIED, details: reason };
 }
 
-/** Starts `server` on `address` (host:port). Raises `unavailable` if the bind fails. */
-export function listen(server: Server, address: string): Promise<void> {
+/**
+ * Starts `server` on an address. An address that is taken is tried again for a while; then
+ * `unavailable` is raised.
+ */
+export async function listen(server: Server, target: ListenTarget): Promise<void> {
+  // A gRPC server whose bind has failed keeps the failure, so the address is checked before.
+  await retryListening(target, () => checkFree(target.address));
+  await bind(server, target.address);
+}
+
+function checkFree(address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    const server = createTcpServer();
+    server.once('error', reject);
+    server.listen(port, host, () => server.close(() => resolve()));
+  });
+}
+
+function bind(server: Server, address: string): Promise<void> {
   return new Promise((resolve, reject) => {
     server.bindAsync(address, ServerCredentials.createInsecure(), (error) => {
       if (error === null) resolve();
--- a/src/daemon/agentProcess.ts
+++ b/src/daemon/agentProcess.ts
@@ -126,7 +126,7 @@
   });
   const server = createServer();
   server.addService(AgentService, entryConnections.service);
-  await listen(server, agent.listen);
+  await listen(server, { logger, address: agent.listen });
   const loadTimer = setInterval(reportLoad, agentDefaults.loadReportMs);
 
   return {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -95,7 +95,7 @@
     signals,
     stopTimeoutMs: getStopTimeoutMs(settings),
     async start(stopping) {
-      metrics = await createMetricsRecorder(settings.metrics);
+      metrics = await createMetricsRecorder(settings.metrics, logger);
       return startRole(metrics, stopping);
     },
     onStarted: () => logger.event('processStarted', { role, incarnation }),
--- a/src/daemon/entryProcess.ts
+++ b/src/daemon/entryProcess.ts
@@ -111,6 +111,7 @@
   });
   const callerApi = await startCallerApi({
     clock,
+    logger,
     settings: settings.entry,
     getDirectory: () => directory,
     isReady: () => session.hasLease() && !isStopping,
--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -168,7 +168,7 @@
     response.statusCode = isReady() ? 200 : 503;
     response.end();
   });
-  const readinessServer = await startServer(readiness, gateway.readyListen);
+  const readinessServer = await startServer(readiness, { logger, address: gateway.readyListen });
 
   return { stop };
 
--- a/src/daemon/keeperProcess.ts
+++ b/src/daemon/keeperProcess.ts
@@ -88,7 +88,7 @@
     tryGetReplica: () => replica,
   });
   server.addService(ControlService, control.service);
-  await listen(server, settings.keeper.listen);
+  await listen(server, { logger, address: settings.keeper.listen });
   const formation: FormationHost = {
     peers,
     logger,
--- a/src/entry/callerApi.ts
+++ b/src/entry/callerApi.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../common/clock.js';
 import { RaisedFailure } from '../common/failure.js';
 import { readBody, startServer } from '../common/httpServer.js';
+import type { Logger } from '../common/logging.js';
 import type { Header } from '../generated/dispatch.js';
 import type { EntrySettings, PlainService, Team, Tier } from '../generated/schemas.js';
 import { sendProblem } from './responseSinks.js';
@@ -51,6 +52,7 @@
 /** Dependencies of the API. */
 export interface CallerApiHost {
   clock: Clock;
+  logger: Logger;
   settings: EntrySettings;
   getDirectory(): Directory;
   isReady(): boolean;
@@ -88,7 +90,11 @@
   app.all('/services/:name', (request, response) => handle(request, response, readServiceCall));
   app.all('/services/:name/*', (request, response) => handle(request, response, readServiceCall));
 
-  return startServer(app, host.settings.listen, KEEP_ALIVE_TIMEOUT_MS);
+  return startServer(
+    app,
+    { logger: host.logger, address: host.settings.listen },
+    KEEP_ALIVE_TIMEOUT_MS,
+  );
 
   function listModels(response: ServerResponse): void {
     const data = host
--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -76,7 +76,7 @@
   server.on('connection', applyLimits);
   const app = polka({ server });
   app.use((request, response) => void handle(request, response));
-  await listenOn(app, host.listen);
+  await listenOn(app, { logger, address: host.listen });
 
   return {
     get openCount() {
--- a/src/keeper/operatorApi.ts
+++ b/src/keeper/operatorApi.ts
@@ -50,7 +50,7 @@
   route('post', '/v1/undrain/:id', (_request, { id }) => drain(id ?? '', false));
   route('post', '/v1/snapshot', async () => ({ index: await getReplica().snapshot() }));
 
-  return startServer(app, host.settings.keeper.operatorListen);
+  return startServer(app, { logger: host.logger, address: host.settings.keeper.operatorListen });
 
   function route(method: 'get' | 'post', path: string, handle: Handler): void {
     app[method](path, async (request, response) => {
--- a/test/unit/common/keeperSession.test.ts
+++ b/test/unit/common/keeperSession.test.ts
@@ -46,7 +46,7 @@
         });
       },
     });
-    await listen(server, address);
+    await listen(server, { logger: { event() {} }, address });
     session = createKeeperSession(
       {
         clock: new SystemClock(),
