Replace built files one by one, chunks first

Operators saw processes that did not start. A build emptied its output folder first, so that a process that started meanwhile, or loaded the modules of its role, ended with status 1 as they were missing; two builds at once removed each other's files.

A build now writes to a fresh folder beside the output folder and renames each file into place, first the chunks, whose names have the hash of their contents, then the programs. Chunks of earlier builds are removed once they are ten minutes old, and other files that the build has not made at once.

Elsewhere: no other script removes what a process loads.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,8 +2,8 @@
  * Bundles the programs into dist/, and tests, benchmarks and scripts into dist/run/. With the
  * argument `target`, bundles only the program that runs on the users' platform, into target/.
  */
-import { readdirSync, rmSync } from 'node:fs';
-import { join } from 'node:path';
+import { mkdirSync, mkdtempSync, readdirSync, renameSync, rmSync, statSync } from 'node:fs';
+import { dirname, join, relative } from 'node:path';
 import process from 'node:process';
 import { build } from 'esbuild';
 
@@ -16,10 +16,14 @@
   fakeEndpoint: 'test/fakes/main.ts',
 };
 
-rmSync(outdir, { recursive: true, force: true });
+/** Age from which no start of a program needs a chunk of an earlier build any more. */
+const STALE_CHUNK_MS = 10 * 60_000;
+
+// Beside the output folder, so that a rename moves files into place.
+const freshFolder = mkdtempSync(`${outdir}.build-`);
 await build({
   entryPoints: isPlatformBuild ? { platform: 'platform/main.ts' } : programs,
-  outdir,
+  outdir: freshFolder,
   outExtension: { '.js': '.mjs' },
   bundle: true,
   splitting: true,
@@ -50,7 +54,7 @@
       ...listTypeScriptFiles('bench'),
       ...listTypeScriptFiles('scripts'),
     ],
-    outdir: 'dist/run',
+    outdir: join(freshFolder, 'run'),
     outbase: '.',
     outExtension: { '.js': '.mjs' },
     bundle: true,
@@ -63,3 +67,43 @@
     logLevel: 'warning',
   });
 }
+
+const builtFiles = listFiles(freshFolder);
+installFiles();
+rmSync(freshFolder, { recursive: true, force: true });
+removeOldFiles();
+
+/** Whether the name of a file has the hash of its contents. */
+function isChunk(file) {
+  return /-[A-Z0-9]{8}\.mjs$/.test(file);
+}
+
+/** Moves chunks into place first, so that a program that starts meanwhile finds its modules. */
+function installFiles() {
+  const chunks = builtFiles.filter((file) => isChunk(file));
+  const entries = builtFiles.filter((file) => !isChunk(file));
+  for (const file of [...chunks, ...entries]) {
+    mkdirSync(dirname(join(outdir, file)), { recursive: true });
+    renameSync(join(freshFolder, file), join(outdir, file));
+  }
+}
+
+/** Removes what earlier builds have left: chunks only once no program that starts needs them. */
+function removeOldFiles() {
+  const staleBefore = Date.now() - STALE_CHUNK_MS;
+  const built = new Set(builtFiles);
+  for (const file of listFiles(outdir)) {
+    if (built.has(file)) continue;
+    const path = join(outdir, file);
+    // Another build may remove the same file.
+    const modifiedAt = statSync(path, { throwIfNoEntry: false })?.mtimeMs ?? 0;
+    if (!isChunk(file) || modifiedAt < staleBefore) rmSync(path, { force: true });
+  }
+}
+
+/** Paths of all files in `folder`, relative to it. */
+function listFiles(folder) {
+  const entries = readdirSync(folder, { recursive: true, withFileTypes: true });
+  const files = entries.filter((entry) => entry.isFile());
+  return files.map((entry) => relative(folder, join(entry.parentPath, entry.name)));
+}
