Keep a build's fresh folder in its output folder

The platform wants all that a build makes below target/, and formatter and linter do not look there. Also gives the tests of closing servers, which came in at the same time, the new form of the address.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -19,8 +19,11 @@
 /** Age from which no start of a program needs a chunk of an earlier build any more. */
 const STALE_CHUNK_MS = 10 * 60_000;
 
-// Beside the output folder, so that a rename moves files into place.
-const freshFolder = mkdtempSync(`${outdir}.build-`);
+const FRESH_FOLDER_PREFIX = '.build-';
+
+// In the output folder, so that a rename moves files into place.
+mkdirSync(outdir, { recursive: true });
+const freshFolder = mkdtempSync(join(outdir, FRESH_FOLDER_PREFIX));
 await build({
   entryPoints: isPlatformBuild ? { platform: 'platform/main.ts' } : programs,
   outdir: freshFolder,
@@ -88,7 +91,10 @@
   }
 }
 
-/** Removes what earlier builds have left: chunks only once no program that starts needs them. */
+/**
+ * Removes what earlier builds have left: chunks only once no program that starts needs them, and
+ * files of a build that was ended only once none can be running any more.
+ */
 function removeOldFiles() {
   const staleBefore = Date.now() - STALE_CHUNK_MS;
   const built = new Set(builtFiles);
@@ -97,7 +103,8 @@
     const path = join(outdir, file);
     // Another build may remove the same file.
     const modifiedAt = statSync(path, { throwIfNoEntry: false })?.mtimeMs ?? 0;
-    if (!isChunk(file) || modifiedAt < staleBefore) rmSync(path, { force: true });
+    const mayBeNeeded = isChunk(file) || file.startsWith(FRESH_FOLDER_PREFIX);
+    if (!mayBeNeeded || modifiedAt < staleBefore) rmSync(path, { force: true });
   }
 }
 
--- a/test/unit/common/httpServer.test.ts
+++ b/test/unit/common/httpServer.test.ts
@@ -14,6 +14,7 @@
 const PAUSE_MS = 500;
 /** Time that the platform leaves a process to stop. */
 const STOP_LIMIT_MS = 8_000;
+const logger = { event() {} };
 
 async function startLargeServer(): Promise<{ server: RunningServer; port: number }> {
   const port = await getFreePort();
@@ -22,7 +23,7 @@
     response.setHeader('Content-Length', BODY_BYTES);
     response.end(Buffer.alloc(BODY_BYTES));
   });
-  return { server: await startServer(app, `127.0.0.1:${port}`), port };
+  return { server: await startServer(app, { logger, address: `127.0.0.1:${port}` }), port };
 }
 
 /** Sends a request and does not read its response yet. */
@@ -76,7 +77,7 @@
     app.get('/:name', (request, response) => {
       setTimeout(() => response.end(`answer to ${request.params.name}`), PAUSE_MS);
     });
-    const server = await startServer(app, `127.0.0.1:${port}`);
+    const server = await startServer(app, { logger, address: `127.0.0.1:${port}` });
     const socket = connect(port, '127.0.0.1');
     socket.write('GET /early HTTP/1.1\r\nHost: a.example\r\n\r\n');
     await delay(PAUSE_MS / 2);
