Let a keeper that was removed join again although it knows its last leader

A keeper that is no voter keeps the last leader it heard from, as it starts no election. One that was removed without knowing it, or whose leader was lost before the others heard of it, waited for that leader for ever, and the cluster stayed short of one keeper.

Whether a keeper is without a leader was asked of the known leader. It is now a matter of the time since the leader was last heard.

--- a/src/keeper/formation.ts
+++ b/src/keeper/formation.ts
@@ -113,13 +113,12 @@
   clock: Clock,
 ): Promise<void> {
   let hasLoggedRejoin = false;
-  let lastLeaderAt = clock.now();
   while (!host.isStopped()) {
     await delay(PROBE_INTERVAL_MS);
     const { raft } = replica;
-    if (raft.leader !== undefined) lastLeaderAt = clock.now();
     const isEmpty = raft.log.lastIndex === 0;
-    const isLeaderless = clock.now() - lastLeaderAt > LEADERLESS_TIMEOUT_MS;
+    // A keeper that was removed still knows its last leader.
+    const isLeaderless = raft.getTimeSinceLeaderMs(clock.now()) > LEADERLESS_TIMEOUT_MS;
     if (!isEmpty && !isLeaderless) continue;
     const leaderAddress = await findForeignLeader(host, replica);
     if (leaderAddress === undefined) continue;
--- a/src/keeper/raft.ts
+++ b/src/keeper/raft.ts
@@ -53,6 +53,8 @@
   readonly committedMembership: Membership;
   /** Index of the last entry known to be synced to the local disk. */
   readonly persistedIndex: number;
+  /** Milliseconds since this replica led or heard from a leader; from its start on before that. */
+  getTimeSinceLeaderMs(now: number): number;
   tick(now: number): void;
   /** Stops leading in the current term, and drops the messages that are not taken yet. */
   stopLeading(now: number): void;
@@ -118,6 +120,7 @@
     get persistedIndex() {
       return core.persistedIndex;
     },
+    getTimeSinceLeaderMs: (time) => (core.role === 'leader' ? 0 : time - core.leaderContactAt),
     tick,
     stopLeading,
     step,
--- a/test/unit/keeper/formation.test.ts
+++ b/test/unit/keeper/formation.test.ts
@@ -2,10 +2,15 @@
 
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { SystemClock } from '../../../src/common/clock.js';
 import { createPeerMetadata } from '../../../src/common/rpc.js';
 import type { KeeperProcessSettings } from '../../../src/common/settings.js';
 import type { ProbeResponse, Replica } from '../../../src/generated/keeper.js';
-import { decideClusterBootstrap, type BootstrapDecision } from '../../../src/keeper/formation.js';
+import {
+  decideClusterBootstrap,
+  maintainMembership,
+  type BootstrapDecision,
+} from '../../../src/keeper/formation.js';
 import { createKeeperService } from '../../../src/keeper/keeperService.js';
 import type { Peers } from '../../../src/keeper/peers.js';
 import type { RunningReplica } from '../../../src/keeper/replica.js';
@@ -118,3 +123,59 @@
     assert.deepEqual(decisions.map(({ kind }) => kind).sort(), ['form', 'join']);
   });
 });
+
+/** Replica of a keeper that was removed, and whose last leader, `lowest`, is gone. */
+function createRemovedReplica(self: Replica): RunningReplica {
+  const leader = { ...self, id: lowest, storeId: lowest, address: lowest };
+  const membership = { voters: [leader], learners: [self] };
+  const raft = { leader, getTimeSinceLeaderMs: () => 5_000, log: { lastIndex: 5, membership } };
+  return { raft } as unknown as RunningReplica;
+}
+
+/** Connections to `middle`, which leads a cluster of its own. */
+function createLeaderPeers(onJoin: () => void): Peers {
+  type Callback = (error: Error | null, response?: object) => void;
+  const membership = { voters: [], learners: [] };
+  const getClient = (address: string): object => ({
+    probe(_request: object, _metadata: object, _options: object, callback: Callback) {
+      if (address !== middle) callback(new Error('no keeper'));
+      else callback(null, { initialized: true, leaderAddress: middle, membership });
+    },
+    join(_request: object, _metadata: object, _options: object, callback: Callback) {
+      onJoin();
+      callback(null, {});
+    },
+  });
+  return { getClient } as unknown as Peers;
+}
+
+describe('a keeper that was removed', () => {
+  it('joins again although it knows a leader, which is gone', async () => {
+    const self: Replica = { id: 'k', storeId: 'k', address: highest, operatorAddress: '' };
+    let hasJoined = false;
+    let isStopped = false;
+    const maintained = maintainMembership(
+      {
+        peers: createLeaderPeers(() => {
+          hasJoined = true;
+        }),
+        logger,
+        metadata,
+        deployment: settings.deployment,
+        self,
+        mayForm: false,
+        announceForming() {},
+        getAddresses: () => [lowest, middle, highest],
+        isStopped: () => isStopped,
+      },
+      createRemovedReplica(self),
+      new SystemClock(),
+    );
+    try {
+      await waitFor('it joins', () => hasJoined, 4_000);
+    } finally {
+      isStopped = true;
+      await maintained;
+    }
+  });
+});
