Read the body of a request that a stopping gateway refuses

What callers saw: a caller that sends all of its body before it reads got a closed connection in place of the 503 that says its request has not run. If the request may not be repeated, the caller has to give up.

Cause: whether a stopping gateway begins a request was decided at its head. The reply ends the connection, and closing a connection while its body still arrives resets it, which may cost the caller the reply.

Why it works: the decision is taken once the body has arrived, as it already was a second time. A body that never arrives is bounded by the end of the grace.

Elsewhere: refusals outside a stop keep their connection; a body that is too large still ends it.

--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -163,7 +163,8 @@
     arrivedAt: number,
     writer: ResponseWriter,
   ): Promise<Call | undefined> {
-    const precheck = admitUntilStopped(head, arrivedAt);
+    // Closing the connection before all of the body has arrived might cost the caller the reply.
+    const precheck = admit(host.table, head, host.random());
     if (precheck.kind === 'refused') {
       refuse(writer, request, head, precheck.reply);
       return undefined;
--- a/test/faults/pipelinedCalls.test.ts
+++ b/test/faults/pipelinedCalls.test.ts
@@ -20,6 +20,8 @@
 const PAUSE_MS = 3_500;
 const SMALL_CALL_COUNT = 4;
 const STOPPING_MS = 200;
+const BODY_PART_COUNT = 10;
+const BODY_PART_INTERVAL_MS = 20;
 
 describe('a stopping gateway', () => {
   let deployment: GatewayDeployment;
@@ -63,7 +65,7 @@
       socket.once('close', resolve);
     });
     socket.resume();
-    await closed;
+    if (!socket.closed) await closed;
     return text;
   }
 
@@ -112,4 +114,28 @@
     const bodies = (await text).match(/answer to large-\d+ +/g) ?? [];
     assert.equal(bodies.length, countArrivals(ids));
   });
+
+  it('refuses a request so that a caller which sends its body first reads the reply', async () => {
+    const headOnly = formatCalls('/once/1', ['held']).replace('GET', 'POST').trimEnd();
+    const holding = open();
+    holding.write(`${headOnly}\r\nContent-Length: 1\r\n\r\n`);
+    await delay(STOPPING_MS);
+    deployment.getProcess('gateway-0').signal('SIGTERM');
+    await delay(PAUSE_MS);
+    const socket = open();
+    let failure: Error | undefined;
+    socket.on('error', (error) => {
+      failure = error;
+    });
+    socket.pause();
+    const head = formatCalls('/once/1', ['body']).replace('GET', 'POST').trimEnd();
+    socket.write(`${head}\r\nContent-Length: ${BODY_PART_COUNT}\r\n\r\n`);
+    for (let part = 0; part < BODY_PART_COUNT; part += 1) {
+      await delay(BODY_PART_INTERVAL_MS);
+      socket.write('x');
+    }
+    assert.match(await readAll(socket), /^HTTP\/1\.1 503 /);
+    assert.equal(failure, undefined);
+    holding.destroy();
+  });
 });
