Run the whole layout of the deploy file under seeded faults

Keepers, gateways and endpoints as in the deploy file, with rendered settings, one address per VM and ports drawn anew, are killed, stopped, signalled, frozen and replaced while callers, an operator and endpoints check what they see: no process ends unasked, nothing that ran ends without an answer or is called not run, nothing runs twice, acknowledged tables are kept and service resumes in time.

--- /dev/null
+++ b/test/faults/layout.test.ts
@@ -0,0 +1,40 @@
+/** Short seeded runs of the layout of the deploy file under faults. */
+
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { LayoutFaultName } from '../fixtures/layoutFaults.js';
+import { runLayout } from './layoutRun.js';
+
+const FAULT_SECONDS = 12;
+const plannedStops: LayoutFaultName[] = ['terminate', 'terminateTwice', 'hup'];
+const processFaults: LayoutFaultName[] = [
+  ...plannedStops,
+  'kill',
+  'earlyHup',
+  'earlyTerm',
+  'freeze',
+  'killKeepers',
+  'killAll',
+  'loseAnswers',
+];
+const keeperFaults: LayoutFaultName[] = ['kill', 'wipe', 'replaceKeeper', 'turnSeeds', 'freeze'];
+
+describe('the layout of the deploy file', () => {
+  for (const [name, seed, faults] of [
+    ['planned stops', 2080, plannedStops],
+    ['faults of processes', 2000, processFaults],
+    ['losses of keepers', 2040, keeperFaults],
+  ] as const) {
+    it(`loses nothing and ends no process by itself under ${name}, seed ${seed}`, async () => {
+      const { violations, counts, changes } = await runLayout({
+        seed,
+        seconds: FAULT_SECONDS,
+        faults,
+      });
+      assert.deepEqual(violations, []);
+      assert.ok((counts['stream answered'] ?? 0) > 0);
+      assert.ok((counts['once answered'] ?? 0) > 0);
+      assert.ok(changes > 0);
+    });
+  }
+});
--- /dev/null
+++ b/test/faults/layoutRun.ts
@@ -0,0 +1,321 @@
+/**
+ * One seeded run of a whole layout of the deploy file: faults on its processes in series and
+ * overlapping, while callers, an operator and endpoints work and check what they see.
+ */
+
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { request } from 'undici';
+import { delay } from '../fixtures/deployment.js';
+import {
+  createLayoutCaller,
+  createLayoutTable,
+  streamEventCount,
+  type CallKind,
+} from '../fixtures/layoutCalls.js';
+import { createLayoutFaults, type LayoutFaultName } from '../fixtures/layoutFaults.js';
+import {
+  createPlatformLayout,
+  type LayoutMachine,
+  type PlatformLayout,
+} from '../fixtures/platformLayout.js';
+
+const RANDOM_MAX = 999_999;
+const START_SPREAD_MS = 300;
+const CALLERS_PER_GATEWAY = 6;
+const CALL_PAUSE_MS = 20;
+const CHANGE_INTERVAL_MS = 400;
+const READ_INTERVAL_MS = 150;
+const REQUEST_TIMEOUT_MS = 1_000;
+const MAX_FAULT_PAUSE_MS = 2_000;
+const RECOVERY_LIMIT_MS = 12_000;
+const MAX_RSS_KB = 346 * 1_024;
+const ENGINES = 13;
+const kindsByDraw = [
+  { kind: 'stream', below: 0.5 },
+  { kind: 'once', below: 0.85 },
+] as const;
+const APPLICATIONS = 3;
+
+/** What to run. */
+export interface LayoutRunPlan {
+  seed: number;
+  seconds: number;
+  keepers?: number;
+  gateways?: number;
+  faults: readonly LayoutFaultName[];
+  /** Routes of a table besides those in use; 0 by default. */
+  padding?: number;
+}
+
+/** Result of a run. */
+export interface LayoutOutcome {
+  violations: string[];
+  counts: Record<string, number>;
+  faults: string[];
+  changes: number;
+  machines: { id: string; outputs: readonly (readonly string[])[] }[];
+}
+
+export async function runLayout(plan: LayoutRunPlan): Promise<LayoutOutcome> {
+  const generator = xoroshiro128plus(plan.seed);
+  const random = (): number => uniformInt(generator, 0, RANDOM_MAX) / (RANDOM_MAX + 1);
+  const layout = await createPlatformLayout(
+    { keeper: plan.keepers ?? 3, gateway: plan.gateways ?? 3 },
+    2 + (plan.seed % 250),
+  );
+  const caller = createLayoutCaller();
+  const violations: string[] = [];
+  const counts: Record<string, number> = {};
+  const notRunIds = new Set<string>();
+  const onceIds = new Set<string>();
+  /** Calls whose connection ended without a whole answer though their gateway was not killed. */
+  const brokenIds = new Map<string, string>();
+  const faults = createLayoutFaults(layout, random, plan.faults);
+  let acknowledged = 0;
+  let changes = 0;
+  let isRunning = true;
+  try {
+    await startAll(layout, random);
+    await startEndpoints(layout);
+    await retryUntil('the first table', () => change(1));
+    await checkRecovery('at the start');
+    const gateways = layout.list('gateway');
+    const tasks = [
+      ...gateways.flatMap((gateway) =>
+        Array.from({ length: CALLERS_PER_GATEWAY }, (_unused, n) => callRepeatedly(gateway, n)),
+      ),
+      changeRepeatedly(),
+      readRepeatedly(),
+      watchMemory(),
+    ];
+    await injectFaults();
+    await checkRecovery('after the last fault');
+    isRunning = false;
+    await Promise.all(tasks);
+    await checkReads();
+    checkArrivals();
+  } catch (caught) {
+    violations.push(String(caught));
+  } finally {
+    isRunning = false;
+    await caller.close();
+    await layout.stop();
+  }
+  for (const { id, code, ageMs, output } of layout.unexpectedEnds) {
+    const lines = output.slice(-3).join(' / ');
+    violations.push(`${id} ended with ${code}, ${ageMs} ms old: ${lines}`);
+  }
+  const machines = layout.machines.map(({ id, outputs }) => ({ id, outputs }));
+  return { violations, counts, faults: faults.started, changes, machines };
+
+  async function injectFaults(): Promise<void> {
+    const endAt = performance.now() + plan.seconds * 1_000;
+    const pending: Promise<void>[] = [];
+    while (performance.now() < endAt && plan.faults.length > 0) {
+      pending.push(faults.start());
+      await delay(random() * MAX_FAULT_PAUSE_MS);
+    }
+    await Promise.all(pending);
+  }
+
+  async function callRepeatedly(gateway: LayoutMachine, index: number): Promise<void> {
+    for (let count = 0; isRunning; count += 1) {
+      const id = `${plan.seed}-${gateway.id}-${index}-${count}`;
+      const draw = random();
+      const kind = kindsByDraw.find(({ below }) => draw < below)?.kind ?? 'lookup';
+      if (kind !== 'lookup') onceIds.add(id);
+      await callOnce(gateway, kind, id, random() < 0.7);
+      await delay(CALL_PAUSE_MS);
+    }
+  }
+
+  async function callOnce(
+    gateway: LayoutMachine,
+    kind: CallKind,
+    id: string,
+    isKept: boolean,
+  ): Promise<void> {
+    const sentAt = performance.now();
+    const result = await caller.call(layout.getAddress(gateway), kind, id, isKept);
+    const outcome = `${kind} ${result.kind}`;
+    counts[outcome] = (counts[outcome] ?? 0) + 1;
+    if (result.kind === 'wrong') violations.push(result.reason);
+    if (result.kind === 'notRun') notRunIds.add(id);
+    if (result.kind !== 'broken') return;
+    if (faults.wasKilled(gateway, sentAt)) return;
+    const { stage } = faults.describe(gateway);
+    const now = performance.now();
+    brokenIds.set(id, `${result.reason} after ${Math.round(now - sentAt)} ms, ${stage}`);
+  }
+
+  async function tryControl(
+    address: string,
+    path: string,
+    body?: string,
+  ): Promise<{ status: number; text: string } | undefined> {
+    try {
+      const signal = AbortSignal.timeout(REQUEST_TIMEOUT_MS);
+      const method = body === undefined ? 'GET' : 'POST';
+      const response = await request(`http://${address}${path}`, { method, body, signal });
+      return { status: response.statusCode, text: await response.body.text() };
+    } catch {
+      return undefined;
+    }
+  }
+
+  async function change(version: number): Promise<boolean> {
+    const body = JSON.stringify(createLayoutTable(version, plan.padding));
+    for (const address of [...layout.controlAddresses]) {
+      const answer = await tryControl(address, '/turmericrack/config/replace', body);
+      if (answer !== undefined && answer.status >= 400 && answer.status < 500) {
+        violations.push(`revision ${version} got status ${answer.status}: ${answer.text}`);
+      }
+      if (answer?.status === 200) {
+        acknowledged = Math.max(acknowledged, version);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  async function changeRepeatedly(): Promise<void> {
+    while (isRunning) {
+      await delay(CHANGE_INTERVAL_MS);
+      if (await change(acknowledged + 1)) changes += 1;
+    }
+  }
+
+  async function readRevision(address: string): Promise<number | undefined> {
+    const answer = await tryControl(address, '/turmericrack/config/read');
+    return answer?.status === 200
+      ? (JSON.parse(answer.text) as { version: number }).version
+      : undefined;
+  }
+
+  async function readRepeatedly(): Promise<void> {
+    for (let count = 0; isRunning; count += 1) {
+      const before = acknowledged;
+      const address = layout.controlAddresses[count % layout.controlAddresses.length]!;
+      const revision = await readRevision(address);
+      if (revision !== undefined && revision < before) {
+        violations.push(`revision ${revision} was read after ${before} was acknowledged`);
+      }
+      await delay(READ_INTERVAL_MS);
+    }
+  }
+
+  async function watchMemory(): Promise<void> {
+    while (isRunning) {
+      for (const { id, rssKb } of faults.listMemory()) {
+        counts['largest KiB'] = Math.max(counts['largest KiB'] ?? 0, rssKb);
+        if (rssKb > MAX_RSS_KB) violations.push(`${id} uses ${rssKb} KiB`);
+      }
+      await delay(1_000);
+    }
+  }
+
+  async function checkRecovery(moment: string): Promise<void> {
+    const revision = acknowledged;
+    const checks = layout.list('gateway').map(async (gateway) => {
+      const endAt = performance.now() + RECOVERY_LIMIT_MS;
+      let seen = '';
+      for (let count = 0; performance.now() < endAt; count += 1) {
+        const kinds: CallKind[] = ['stream', 'once', 'lookup'];
+        const results = await Promise.all(
+          kinds.map((kind) =>
+            caller.call(
+              layout.getAddress(gateway),
+              kind,
+              `${moment}-${gateway.id}-${count}-${kind}`,
+              false,
+            ),
+          ),
+        );
+        const url = `http://${layout.getAddress(gateway)}/new-${revision}/1`;
+        const added = await probe(url, `${moment}-${gateway.id}-${count}`);
+        const isInForce = added === 200 || acknowledged > revision;
+        seen = `${results.map(({ kind }) => kind).join(' ')}, ${added} on the newest route`;
+        if (isInForce && results.every(({ kind }) => kind === 'answered')) return;
+        await delay(READ_INTERVAL_MS);
+      }
+      violations.push(`${gateway.id} ${moment}: ${seen}, revision ${revision}`);
+    });
+    await Promise.all(checks);
+  }
+
+  async function probe(url: string, id: string): Promise<number | undefined> {
+    try {
+      const headers = { host: 'a.example', 'turmericrack-attempt-id': id };
+      const response = await request(url, {
+        headers,
+        signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
+      });
+      await response.body.dump();
+      return response.statusCode;
+    } catch {
+      return undefined;
+    }
+  }
+
+  async function checkReads(): Promise<void> {
+    for (const address of layout.controlAddresses) {
+      let revision: number | undefined;
+      await retryUntil(`a read from ${address}`, async () => {
+        revision = await readRevision(address);
+        return revision !== undefined;
+      });
+      if (revision !== acknowledged) {
+        // A change without a clear answer may be in force.
+        if (revision! < acknowledged || revision! > acknowledged + 1) {
+          violations.push(`${address} holds ${revision}, acknowledged ${acknowledged}`);
+        }
+      }
+    }
+  }
+
+  function checkArrivals(): void {
+    const arrivals = new Map<string, number>();
+    for (const endpoint of layout.endpoints) {
+      for (const id of endpoint.arrivals) arrivals.set(id, (arrivals.get(id) ?? 0) + 1);
+    }
+    for (const [id, count] of arrivals) {
+      if (notRunIds.has(id)) violations.push(`${id} was answered as not run and has run`);
+      if (count > 1 && onceIds.has(id)) violations.push(`${id} ran ${count} times`);
+      const broken = brokenIds.get(id);
+      if (broken !== undefined) violations.push(`${id} ran and got no whole answer: ${broken}`);
+    }
+  }
+}
+
+async function startAll(layout: PlatformLayout, random: () => number): Promise<void> {
+  const started = layout.machines.map(async (machine) => {
+    await delay(random() * START_SPREAD_MS);
+    layout.start(machine, true);
+  });
+  await Promise.all(started);
+}
+
+async function startEndpoints(layout: PlatformLayout): Promise<void> {
+  for (let index = 0; index < ENGINES; index += 1) {
+    await layout.startEndpoint({
+      id: `engine-${index}`,
+      pool: 'engine',
+      slots: 10,
+      workMs: 60,
+      stream: { eventCount: streamEventCount, intervalMs: 60 },
+    });
+  }
+  for (let index = 0; index < APPLICATIONS; index += 1) {
+    await layout.startEndpoint({ id: `app-${index}`, pool: 'application', slots: 6, workMs: 30 });
+  }
+}
+
+async function retryUntil(what: string, run: () => Promise<boolean>): Promise<void> {
+  const endAt = performance.now() + RECOVERY_LIMIT_MS;
+  while (performance.now() < endAt) {
+    if (await run()) return;
+    await delay(READ_INTERVAL_MS);
+  }
+  throw new TypeError(`timed out waiting for: ${what}`);
+}
