Leave no listeners behind of attempts to listen that have failed

An HTTP server that waited for its address for 1.1 s or longer wrote a MaxListenersExceededWarning of Node.js to standard error, as each failed attempt left its listener for the event that tells of success.

--- a/src/common/httpServer.ts
+++ b/src/common/httpServer.ts
@@ -61,11 +61,18 @@
 
 function tryListen(server: Server, host: string, port: number): Promise<void> {
   return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => {
-      server.removeListener('error', reject);
+    const succeed = (): void => {
+      server.off('error', fail);
       resolve();
-    });
+    };
+    const fail = (error: Error): void => {
+      // An attempt that follows adds a listener of its own.
+      server.off('listening', succeed);
+      reject(error);
+    };
+    server.once('listening', succeed);
+    server.once('error', fail);
+    server.listen(port, host);
   });
 }
 
