Limit a caller that reads late only until its next request arrives

A response to a request that a caller sent while it still read the one before was cut off at a stopping server after 1.5 to 3 s of silence: the timeout for callers that read nothing was set once for the connection and stayed. A further request now ends it.

--- a/src/common/idleConnections.ts
+++ b/src/common/idleConnections.ts
@@ -35,6 +35,7 @@
   server.prependListener('request', ({ socket }, response) => {
     const connection = connections.get(socket);
     if (connection === undefined) return;
+    clearStallLimit(socket, connection);
     connection.openResponses.add(response);
     response.once('close', () => {
       connection.openResponses.delete(response);
@@ -65,3 +66,10 @@
   connection.hasStallTimeout = true;
   socket.setTimeout(SEND_STALL_TIMEOUT_MS);
 }
+
+/** The response to a further request may take longer. */
+function clearStallLimit(socket: Socket, connection: Connection): void {
+  if (!connection.hasStallTimeout) return;
+  connection.hasStallTimeout = false;
+  socket.setTimeout(0);
+}
--- a/test/unit/common/httpServer.test.ts
+++ b/test/unit/common/httpServer.test.ts
@@ -12,8 +12,11 @@
 /** More than the buffers of a connection on loopback hold. */
 const BODY_BYTES = 24 * 1024 * 1024;
 const PAUSE_MS = 500;
+/** Longer than a caller may take without reading what is ready. */
+const SLOW_ANSWER_MS = 4_000;
 /** Time that the platform leaves a process to stop. */
 const STOP_LIMIT_MS = 8_000;
+const TAIL_LENGTH = 100;
 const logger = { event() {} };
 
 async function startLargeServer(): Promise<{ server: RunningServer; port: number }> {
@@ -23,6 +26,9 @@
     response.setHeader('Content-Length', BODY_BYTES);
     response.end(Buffer.alloc(BODY_BYTES));
   });
+  app.get('/slow', (_request, response) => {
+    setTimeout(() => response.end('slow answer'), SLOW_ANSWER_MS);
+  });
   return { server: await startServer(app, { logger, address: `127.0.0.1:${port}` }), port };
 }
 
@@ -71,6 +77,22 @@
     socket.destroy();
   });
 
+  it('waits for the answer to a request that a caller sends while it reads late', async () => {
+    const { server, port } = await startLargeServer();
+    const socket = await sendRequest(port);
+    const closed = server.close();
+    await delay(PAUSE_MS);
+    socket.write('GET /slow HTTP/1.1\r\nHost: a.example\r\n\r\n');
+    let tail = '';
+    socket.on('data', (chunk) => {
+      tail = String(chunk).slice(-TAIL_LENGTH);
+    });
+    socket.resume();
+    await once(socket, 'close');
+    await closed;
+    assert.ok(tail.endsWith('slow answer'));
+  });
+
   it('answers all requests that a caller sends at once', async () => {
     const port = await getFreePort();
     const app = polka();
