Hold an address in the test until the daemon has met it taken

The test gave the address back 1.5 s after the spawn, which a daemon on a busy machine may take to load: it then never met a taken address, as seen once for the agent and the keeper (0 log lines in place of 1). With the address held for 30 ms the same failure shows in 4 of 4. The test now waits for the line of the first attempt and holds the address for a second after it; 12 of 12 pass.

--- a/test/integration/takenAddresses.test.ts
+++ b/test/integration/takenAddresses.test.ts
@@ -9,7 +9,8 @@
 import { delay, waitFor } from '../fixtures/deployment.js';
 import type { TestProcess } from '../fixtures/processes.js';
 
-const HELD_MS = 1_500;
+/** Time for which the address stays taken after the first attempt. */
+const HELD_MS = 1_000;
 const kinds: readonly DaemonKind[] = ['entry', 'agent', 'keeper', 'gateway'];
 
 function countEvents(daemon: TestProcess, name: string): number {
@@ -38,6 +39,7 @@
       const holder = await take(daemon.listen);
       const starting = daemon.start();
       try {
+        await waitFor('the attempt', () => countEvents(starting, 'addressUnavailable') === 1);
         await delay(HELD_MS);
         assert.ok(starting.isRunning, starting.output.join('\n'));
         await giveBack(holder);
@@ -75,7 +77,7 @@
       const starting = daemon.start();
       try {
         await waitFor('the start', () => countEvents(starting, 'processStarted') === 1);
-        assert.equal(countEvents(starting, 'addressUnavailable'), 1);
+        await waitFor('the attempt', () => countEvents(starting, 'addressUnavailable') === 1);
         await giveBack(holder);
         await waitFor('the metrics', () => countEvents(starting, 'addressAvailable') === 1);
         const { statusCode, body } = await request(`http://${daemon.metricsListen}/metrics`);
