Take an endpoint's process for ended only if a connection is refused

Cause: the detector of crashes counts a connection that is not answered in time, which is right for its log and the suspects, but does not show that the process has ended. A refused connection does.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -89,8 +89,8 @@
   const streamOrigins = createStreamOrigins(now);
   const crashDetector = createCrashDetector({
     logger,
-    onCrash({ announcement, health }, interrupted) {
-      health.recordCrash(now());
+    onCrash({ announcement, health }, interrupted, isRefused) {
+      if (isRefused) health.recordCrash(now());
       crashSuspects.recordCrash(announcement, interrupted);
     },
   });
--- a/src/gateway/crashDetector.ts
+++ b/src/gateway/crashDetector.ts
@@ -22,7 +22,8 @@
 /** Dependencies of the detector. */
 export interface CrashDetectorHost {
   logger: Logger;
-  onCrash(endpoint: Endpoint, interrupted: readonly InterruptedCall[]): void;
+  /** `isRefused` means that nothing listened at the address, so that the process has ended. */
+  onCrash(endpoint: Endpoint, interrupted: readonly InterruptedCall[], isRefused: boolean): void;
 }
 
 /** Detects crashes of all endpoints of a gateway. */
@@ -49,12 +50,12 @@
   }
 
   async function probe(endpoint: Endpoint): Promise<void> {
-    const isReachable = await endpoint.client.isReachable();
+    const outcome = await endpoint.client.probe();
     const interrupted = probed.get(endpoint) ?? [];
     probed.delete(endpoint);
-    if (isReachable) return;
+    if (outcome === 'accepted') return;
     logCrash(endpoint, interrupted);
-    host.onCrash(endpoint, interrupted);
+    host.onCrash(endpoint, interrupted, outcome === 'refused');
   }
 
   function logCrash({ announcement }: Endpoint, interrupted: readonly InterruptedCall[]): void {
--- a/src/gateway/endpointClient.ts
+++ b/src/gateway/endpointClient.ts
@@ -53,11 +53,14 @@
   abort(): void;
 }
 
+/** Whether an endpoint accepts a connection. `refused` means that nothing listens at its address. */
+export type ProbeOutcome = 'accepted' | 'refused' | 'unanswered';
+
 /** A client of one endpoint. */
 export interface EndpointClient {
   send(request: EndpointRequest, handler: ResponseHandler): Exchange;
-  /** Whether the endpoint accepts a connection; sends nothing on it. */
-  isReachable(): Promise<boolean>;
+  /** Opens a connection, and sends nothing on it. */
+  probe(): Promise<ProbeOutcome>;
   close(): void;
 }
 
@@ -78,7 +81,7 @@
   // their idle timeout.
   const idle: Connection[] = [];
 
-  return { send, isReachable, close };
+  return { send, probe, close };
 
   function createConnection(): Connection {
     const connection: Connection = {
@@ -199,18 +202,18 @@
     };
   }
 
-  function isReachable(): Promise<boolean> {
+  function probe(): Promise<ProbeOutcome> {
     return new Promise((resolve) => {
       const { host, port } = splitAddress(address);
       const socket = connectSocket({ host, port });
-      const end = (isOpen: boolean) => (): void => {
+      const end = (outcome: ProbeOutcome): void => {
         clearTimeout(timer);
         socket.destroy();
-        resolve(isOpen);
+        resolve(outcome);
       };
-      const timer = setTimeout(end(false), CONNECT_TIMEOUT_MS);
-      socket.once('connect', end(true));
-      socket.once('error', end(false));
+      const timer = setTimeout(() => end('unanswered'), CONNECT_TIMEOUT_MS);
+      socket.once('connect', () => end('accepted'));
+      socket.once('error', (error) => end(isRefusal(error) ? 'refused' : 'unanswered'));
     });
   }
 
@@ -240,6 +243,10 @@
   );
 }
 
+function isRefusal(error: Error): boolean {
+  return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+}
+
 function isInvalidRequest(error: Error): boolean {
   return (error as NodeJS.ErrnoException).code === INVALID_REQUEST_CODE;
 }
