Do not end a call before its deadline has come

Cause: a handler ended its call when the timer for the deadline fired. setTimeout drops the fraction of its delay and counts from the beginning of the turn of the event loop: 2,165 of 3,000 timers of an idle process fired early, by up to 1.9 ms.

Change: callAt compares the clock and waits for the rest.

--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Clock } from '../common/clock.js';
+import { callAt } from '../common/delay.js';
 import type { Logger } from '../common/logging.js';
 import type { StreamOrigin } from '../generated/control.js';
 import { createAttempt, type Attempt } from './attempt.js';
@@ -81,7 +82,7 @@
     onPlaced: send,
     onRefused: refuse,
   });
-  const timer = setTimeout(timeOut, call.deadline - clock.now());
+  const cancelTimeout = callAt(clock, call.deadline, timeOut);
   scheduler.submit(placement);
 
   return {
@@ -380,7 +381,7 @@
 
   function finish(outcome: CallSummary['outcome'], status: number, reason: string): void {
     isOver = true;
-    clearTimeout(timer);
+    cancelTimeout();
     scheduler.withdraw(placement);
     if (current !== undefined) {
       current.exchange?.abort();
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -390,4 +390,18 @@
     assert.deepEqual(started.statuses, [504]);
     assert.equal(started.getAborted(), 1);
   });
+
+  it('does not cut a stream before its deadline, even if its timer fires early', async () => {
+    started = startHandler('stream', 1, { waitMs: DRIBBLE_INTERVAL_MS });
+    const { clock, exchanges, ends } = started;
+    started.place();
+    exchanges[0]?.onHead(200, []);
+    exchanges[0]?.onData(Buffer.from('id: 1\n\n'));
+    clock.advance(DRIBBLE_INTERVAL_MS - 1);
+    await delay(3 * DRIBBLE_INTERVAL_MS);
+    assert.deepEqual(ends, []);
+    clock.advance(1);
+    await delay(3 * DRIBBLE_INTERVAL_MS);
+    assert.deepEqual(ends, ['cut']);
+  });
 });
