Let requests end at an endpoint whose successor starts elsewhere

What callers saw: nothing reported; by reading, a response was cut when its endpoint was announced anew under its id.

Cause: the tracker closed all connections if the start time, the address or the pool of an endpoint changed, as if its process had ended. Only a successor at the same address shows that.

Change: otherwise each connection is closed once its request has ended.

Measured: two of the three new tests of the tracker failed before (UND_ERR_DESTROYED) and pass; the third guards the case that was right.

--- a/src/gateway/endpointClient.ts
+++ b/src/gateway/endpointClient.ts
@@ -61,6 +61,9 @@
   send(request: EndpointRequest, handler: ResponseHandler): Exchange;
   /** Opens a connection, and sends nothing on it. */
   probe(): Promise<ProbeOutcome>;
+  /** Closes each connection once its request has ended; nothing may be sent any more. */
+  retire(): void;
+  /** Closes all connections and ends their requests. */
   close(): void;
 }
 
@@ -81,7 +84,7 @@
   // their idle timeout.
   const idle: Connection[] = [];
 
-  return { send, probe, close };
+  return { send, probe, retire, close };
 
   function createConnection(): Connection {
     const connection: Connection = {
@@ -217,15 +220,19 @@
     });
   }
 
+  function retire(): void {
+    for (const { client } of connections) client.close().catch(ignoreClosed);
+  }
+
   function close(): void {
-    for (const { client } of connections) {
-      client.destroy().catch(() => {
-        // The connection is already closed.
-      });
-    }
+    for (const { client } of connections) client.destroy().catch(ignoreClosed);
   }
 }
 
+function ignoreClosed(): void {
+  // The connection is already closed.
+}
+
 function createTimeoutError(): Error {
   return Object.assign(new Error('connect timeout'), { code: 'ETIMEDOUT' });
 }
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -100,7 +100,7 @@
     for (const announcement of host.registry.listDeclared()) {
       const known = endpoints.get(announcement.endpointId);
       if (known === undefined || isReplaced(known.announcement, announcement)) {
-        known?.client.close();
+        if (known !== undefined) disconnect(known, announcement);
         endpoints.set(announcement.endpointId, createEndpoint(announcement));
       }
     }
@@ -261,6 +261,13 @@
   }
 }
 
+/** Requests may still run at an endpoint that was replaced, unless another one has its address. */
+function disconnect({ announcement, client }: Endpoint, next: Announcement): void {
+  const isGone = announcement.address === next.address && announcement.bornAtMs !== next.bornAtMs;
+  if (isGone) client.close();
+  else client.retire();
+}
+
 function isReplaced(known: Announcement, next: Announcement): boolean {
   return (
     known.bornAtMs !== next.bornAtMs || known.address !== next.address || known.pool !== next.pool
