--- a/test/unit/platform/settings.test.ts
+++ b/test/unit/platform/settings.test.ts
@@ -7,17 +7,9 @@
 import { describe, it } from 'node:test';
 import { readSettings, type ProcessSettings } from '../../../src/common/settings.js';
 import { startProcess } from '../../fixtures/processes.js';
-import { renderTemplate } from '../../fixtures/settingsTemplate.js';
+import { bounds, renderTemplate } from '../../fixtures/settingsTemplate.js';
 
 const ip = '127.0.3.25';
-const bounds = {
-  graceS: 8,
-  strictRevoke: false,
-  retryRatio: 0.2,
-  retryWindowS: 10,
-  retryBurst: 52,
-  quotaBurst: 140_000,
-};
 const common = {
   nodeName: 'edge-plovdiv-a-1',
   ip,
