Log what a keeper knows while it has no leader or commits nothing

Operators saw changes refused long after full disks had room again, while all processes ran; the logs could not tell a keeper that nobody replicates to from one without a leader or a leader without a majority.

The test of full disks keeps the logs of all keepers and its own steps if it fails.

--- a/src/keeper/replica.ts
+++ b/src/keeper/replica.ts
@@ -17,6 +17,7 @@
 import { delay } from '../common/delay.js';
 import { RaisedFailure } from '../common/failure.js';
 import { createReadIndexRequests } from './readIndex.js';
+import { createProgressReports } from './progressReports.js';
 import { createRaft, type Raft, type Ready } from './raft.js';
 import { ELECTION_TIMEOUT_MS, type Envelope } from './raftCore.js';
 import { getEntryPayloadBytes } from './raftLog.js';
@@ -121,10 +122,12 @@
     clock.now(),
   );
   const readIndexRequests = createReadIndexRequests(raft, clock);
+  const progressReports = createProgressReports(logger, raft);
   const timer = setInterval(() => {
     if (isDiskStalled()) stopLeading();
     // Neither a heartbeat nor a vote could be sent before the disk returns.
     else raft.tick(clock.now());
+    progressReports.update(clock.now(), getDiskBusyMs());
     readIndexRequests.settleDecided(appliedIndex);
     processReady();
   }, TICK_INTERVAL_MS);
@@ -227,8 +230,12 @@
     }
   }
 
+  function getDiskBusyMs(): number {
+    return storeBusySince === undefined ? 0 : clock.now() - storeBusySince;
+  }
+
   function isDiskStalled(): boolean {
-    return storeBusySince !== undefined && clock.now() - storeBusySince > LEADER_DISK_TIMEOUT_MS;
+    return getDiskBusyMs() > LEADER_DISK_TIMEOUT_MS;
   }
 
   function stopLeading(): void {
--- a/test/faults/fullDisks.test.ts
+++ b/test/faults/fullDisks.test.ts
@@ -1,6 +1,9 @@
 /** Disks of the keepers that are full, slow or stalled in turn, never two at once. */
 
 import assert from 'node:assert/strict';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { describe, it } from 'node:test';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
@@ -15,6 +18,7 @@
 const CHANGE_PAUSE_MS = 50;
 /** Time within which a change is answered once no disk fails. */
 const RECOVERY_LIMIT_MS = 3_000;
+const REPORT_WAIT_MS = 5_000;
 
 describe('disks of the keepers that fail in turn', () => {
   for (const seed of SEEDS) {
@@ -27,6 +31,7 @@
   const below = (limit: number): number => uniformInt(generator, 0, limit - 1);
   const deployment = await createGatewayDeployment([]);
   const states: DiskState[] = ['full', 'full', 'slow', 'stalled'];
+  const steps: string[] = [];
   let isRunning = true;
   let acknowledged = 0;
   let revision = 1;
@@ -37,6 +42,11 @@
     isRunning = false;
     await declaring;
     await checkRecovery();
+  } catch (caught) {
+    note(`failed: ${String(caught)}`);
+    // Long enough for the keepers to report that they have no leader or do not commit.
+    await delay(REPORT_WAIT_MS);
+    throw new Error(`seed ${seed}; logs in ${keepLogs()}`, { cause: caught });
   } finally {
     isRunning = false;
     await deployment.stop();
@@ -44,25 +54,47 @@
 
   async function declareRepeatedly(): Promise<void> {
     while (isRunning) {
-      revision += 1;
-      const declared = revision;
-      const status = await deployment.tryDeclare(createTableBody(declared));
-      if (status === 200) acknowledged = declared;
+      const declared = revision + 1;
+      if ((await declareNext()) === 200) acknowledged = declared;
       await delay(CHANGE_PAUSE_MS);
     }
   }
 
+  async function declareNext(): Promise<number | undefined> {
+    revision += 1;
+    const declared = revision;
+    const startedAt = performance.now();
+    const status = await deployment.tryDeclare(createTableBody(declared));
+    note(`revision ${declared}: ${status} after ${Math.round(performance.now() - startedAt)} ms`);
+    return status;
+  }
+
+  function note(step: string): void {
+    steps.push(`${new Date().toISOString()} ${step}`);
+  }
+
+  function keepLogs(): string {
+    const folder = mkdtempSync(join(tmpdir(), `turmericrack-disks-${seed}-`));
+    writeFileSync(join(folder, 'steps.log'), steps.join('\n'));
+    for (const id of deployment.keeperIds) {
+      writeFileSync(join(folder, `${id}.log`), deployment.listOutput(id).join('\n'));
+    }
+    return folder;
+  }
+
   async function injectFault(turn: number): Promise<void> {
     const keeper = turn % deployment.keeperIds.length;
     const id = deployment.keeperIds[keeper] ?? '';
     const state = states[below(states.length)] ?? 'full';
     deployment.setDisk(id, state);
+    note(`turn ${turn}: the disk of ${id} is ${state}`);
     await delay(500 + below(MAX_FAULT_MS - 500));
     if (state === 'full') {
       const { output } = deployment.getProcess(id);
       await waitFor('a write to fail', () => output.some((line) => line.includes('"diskFailed"')));
     }
     const action = below(4);
+    note(`turn ${turn}: action ${action}`);
     if (action === 0) {
       await deployment.getProcess(id).kill();
       deployment.restart(id);
@@ -73,6 +105,7 @@
       deployment.getProcess(id).signal('SIGCONT');
     }
     deployment.setDisk(id, 'sound');
+    note(`turn ${turn}: the disk of ${id} is sound`);
     await delay(below(MAX_GAP_MS));
   }
 
@@ -82,8 +115,7 @@
     const deadline = performance.now() + RECOVERY_LIMIT_MS;
     let status: number | undefined;
     while (status !== 200 && performance.now() < deadline) {
-      revision += 1;
-      status = await deployment.tryDeclare(createTableBody(revision));
+      status = await declareNext();
     }
     assert.equal(status, 200, `seed ${seed}: no change is accepted after the last fault`);
     for (const keeper of deployment.keeperIds.keys()) {
