--- a/src/keeper/followerHandlers.ts
+++ b/src/keeper/followerHandlers.ts
@@ -51,7 +51,10 @@
     const { snapshot, sentAtMs } = install;
     if (!acceptLeader(from, term) || snapshot?.header === undefined) return;
     const { header } = snapshot;
-    if (header.index > core.commitIndex) {
+    if (log.tryGetTerm(header.index) === header.term) {
+      // Entries after it may have been acknowledged.
+      core.commitIndex = Math.max(core.commitIndex, header.index);
+    } else if (header.index > core.commitIndex) {
       log.reset(header);
       core.unpersistedEntries = [];
       core.pendingSnapshot = snapshot;
--- a/test/unit/keeper/raft.test.ts
+++ b/test/unit/keeper/raft.test.ts
@@ -21,6 +21,10 @@
   return { index: 1, term: 1, payload: { $case: 'membership', value: membership } };
 }
 
+function createNoop(index: number, term: number): LogEntry {
+  return { index, term, payload: { $case: 'noop', value: true } };
+}
+
 function createNode(membership = threeVoters, more: LogEntry[] = [], now = 0): Raft {
   const entries = [createMembershipEntry(membership), ...more];
   const initial = {
@@ -199,6 +203,46 @@
   });
 });
 
+describe('a follower that gets a snapshot', () => {
+  const entries = [2, 3, 4].map((index) => createNoop(index, 1));
+
+  function installSnapshot(raft: Raft, index: number, term: number): void {
+    const header = { index, term, membership: threeVoters };
+    const value = { snapshot: { header, state: Buffer.alloc(0) }, sentAtMs: 0 };
+    const message = createMessage(b, 2, { $case: 'snapshotInstall', value });
+    raft.step(message, LONG_AFTER_START_MS);
+  }
+
+  it('keeps the entries after it, of which others may know that they are stored', () => {
+    const raft = createNode(threeVoters, entries);
+    installSnapshot(raft, 3, 1);
+    assert.equal(raft.log.lastIndex, 4);
+    assert.equal(raft.commitIndex, 3);
+    const ready = raft.takeReady();
+    assert.equal(ready.snapshot, undefined);
+    const response = ready.messages.at(-1)?.message.body;
+    assert.ok(response?.$case === 'appendResponse' && response.value.accepted);
+    assert.equal(response.value.matchIndex, 3);
+    const vote = { preVote: false, lastIndex: 3, lastTerm: 1 };
+    const later = LONG_AFTER_START_MS + ELECTION_TIMEOUT_MS;
+    raft.step(createMessage(c, 3, { $case: 'voteRequest', value: vote }), later);
+    const answer = takeMessages(raft).at(-1)?.message.body;
+    assert.ok(answer?.$case === 'voteResponse' && !answer.value.granted);
+  });
+
+  it('replaces a log that differs from it or ends before it', () => {
+    for (const [index, term] of [
+      [3, 2],
+      [6, 1],
+    ] as const) {
+      const raft = createNode(threeVoters, entries);
+      installSnapshot(raft, index, term);
+      assert.equal(raft.log.lastIndex, index);
+      assert.equal(raft.takeReady().snapshot?.header?.index, index);
+    }
+  });
+});
+
 describe('membership changes', () => {
   const learner = createTestReplica('c2');
 
