--- a/src/keeper/replica.ts
+++ b/src/keeper/replica.ts
@@ -292,6 +292,8 @@
   }
 
   function shouldSnapshot(): boolean {
+    // A snapshot from the leader, not installed yet, has replaced the log.
+    if (raft.log.snapshot.index > appliedIndex) return false;
     const limit = options.snapshotEntries ?? DEFAULT_SNAPSHOT_THRESHOLD_ENTRIES;
     const applied = appliedIndex - (snapshot?.header?.index ?? 0);
     const isLarge = bytesSinceSnapshot >= SNAPSHOT_THRESHOLD_BYTES;
--- a/test/unit/keeper/replicaDisk.test.ts
+++ b/test/unit/keeper/replicaDisk.test.ts
@@ -4,9 +4,10 @@
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { SystemClock } from '../../../src/common/clock.js';
 import { RaisedFailure } from '../../../src/common/failure.js';
-import type { Command, Replica } from '../../../src/generated/keeper.js';
+import type { Command, PeerMessage, Replica } from '../../../src/generated/keeper.js';
 import { emptySnapshotHeader } from '../../../src/keeper/raftLog.js';
 import { createReplica, type RunningReplica } from '../../../src/keeper/replica.js';
+import { createReplicatedState } from '../../../src/keeper/state.js';
 import type { Store } from '../../../src/keeper/store.js';
 import { delay, waitFor } from '../../fixtures/deployment.js';
 
@@ -15,9 +16,11 @@
 /** A caller of the operators' interface gives up after 5 s. */
 const EARLY_ANSWER_MS = 2_000;
 
+const leader: Replica = { id: 'k1', storeId: 's1', address: 'k1', operatorAddress: '' };
+
 /** Store in memory whose writes wait while `isStalled`. */
-function createStallingStore() {
-  const membership = { voters: [self], learners: [] };
+function createStallingStore(voters: Replica[]) {
+  const membership = { voters, learners: [] };
   const payload = { $case: 'membership' as const, value: membership };
   const stalls = { isStalled: false, isClosed: false };
   const store: Store = {
@@ -50,7 +53,12 @@
   let fatal: unknown;
 
   beforeEach(async () => {
-    const created = createStallingStore();
+    start([self]);
+    await waitFor('the replica to serve', () => replica.isServing);
+  });
+
+  function start(voters: Replica[]): void {
+    const created = createStallingStore(voters);
     ({ stalls } = created);
     fatal = undefined;
     const host = {
@@ -66,8 +74,7 @@
     };
     const options = { deployment: 'test', self, snapshotEntries: undefined };
     replica = createReplica(host, options, created.store);
-    await waitFor('the replica to serve', () => replica.isServing);
-  });
+  }
 
   afterEach(() => replica.stop());
 
@@ -96,4 +103,25 @@
     await waitFor('the replica to serve', () => replica.isServing);
     assert.equal((await replica.propose(command)).kind, 'member');
   });
+
+  it('writes no snapshot of what a snapshot from the leader is about to replace', async () => {
+    await replica.stop();
+    start([self, leader]);
+    stalls.isStalled = true;
+    const entry = { index: 2, term: 2, payload: { $case: 'noop' as const, value: true } };
+    const append = { previousIndex: 1, previousTerm: 1, commitIndex: 2, sentAtMs: 0 };
+    receive({ $case: 'appendRequest', value: { ...append, entries: [entry] } });
+    const written = replica.snapshot();
+    const header = { index: 9, term: 2, membership: { voters: [self, leader], learners: [] } };
+    const snapshot = { header, state: createReplicatedState().save() };
+    receive({ $case: 'snapshotInstall', value: { snapshot, sentAtMs: 0 } });
+    stalls.isStalled = false;
+    await waitFor('the snapshot', () => replica.appliedIndex === 9 || fatal !== undefined);
+    assert.equal(fatal, undefined);
+    assert.equal(await written, 9);
+  });
+
+  function receive(body: PeerMessage['body']): void {
+    replica.receive({ deployment: 'test', from: leader, toStoreId: self.storeId, term: 2, body });
+  }
 });
