Hold one flush of the log at a time while its reader stalls

What callers saw: a process whose log went to a terminal that nobody read (one stopped by its user) answered nothing from 5.5 s on, and no SIGTERM.

Cause: every 0.5 s another flush was begun although one was waiting, and each added listeners to the writer. From the eleventh on Node.js warns of them on standard error, synchronously, and a terminal that nobody reads blocks that write and with it the whole process. The listeners also added up without a bound, two each 0.5 s.

A pipe and a socket are not blocking and only got the warning.

--- a/src/common/logSink.ts
+++ b/src/common/logSink.ts
@@ -49,7 +49,10 @@
   stream.on('error', () => {});
   /** When the oldest flush that is not complete began. */
   let flushingSince: number | undefined;
-  const timer = setInterval(() => startFlush(), FLUSH_INTERVAL_MS);
+  const timer = setInterval(() => {
+    // Flushes that wait for a reader that takes nothing would add up.
+    if (flushingSince === undefined) startFlush();
+  }, FLUSH_INTERVAL_MS);
   timer.unref();
 
   return {
