--- a/test/unit/platform/settings.test.ts
+++ b/test/unit/platform/settings.test.ts
@@ -115,4 +115,12 @@
     });
     assert.equal(code, 0, output.join('\n'));
   });
+
+  it('are read from the default file if the variable of the environment is empty', async () => {
+    const child = startProcess('check', 'dist/platform.mjs', ['--check'], [], {
+      TURMERICRACK_SETTINGS: '',
+    });
+    await child.exited;
+    assert.match(child.output.join('\n'), /\/etc\/turmericrack\/settings\.yaml: /);
+  });
 });
