--- /dev/null
+++ b/src/gateway/attemptFailure.ts
@@ -0,0 +1,42 @@
+/** What the failure of an attempt says about its endpoint, and how log lines describe it. */
+
+import { assertNever } from '../common/debug.js';
+import { toConnectFailure } from './connectFailure.js';
+import type { EndpointHealth } from './endpointHealth.js';
+import type { AttemptFailure } from './types.js';
+
+/** Records a failure in the health of the endpoint of the attempt. */
+export function recordAttemptFailure(
+  health: EndpointHealth,
+  failure: AttemptFailure,
+  now: number,
+): void {
+  switch (failure.kind) {
+    case 'notSent':
+      health.recordUnreachable(now, toConnectFailure(failure.reason) === 'refused');
+      break;
+    case 'unknown':
+      health.recordBrokenResponse(now);
+      break;
+    case 'failed':
+      health.recordErrorResponse(now);
+      break;
+    case 'notRun':
+    case 'unsendable':
+      break;
+    default:
+      assertNever(failure);
+  }
+}
+
+/** Formats a failure for log lines. */
+export function describeAttemptFailure(failure: AttemptFailure): string {
+  switch (failure.kind) {
+    case 'notSent':
+    case 'unsendable':
+    case 'unknown':
+      return `${failure.kind}: ${failure.reason}`;
+    default:
+      return `${failure.kind}: ${failure.status}`;
+  }
+}
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -8,6 +8,7 @@
 import type { Logger } from '../common/logging.js';
 import type { StreamOrigin } from '../generated/control.js';
 import { createAttempt, type Attempt } from './attempt.js';
+import { describeAttemptFailure, recordAttemptFailure } from './attemptFailure.js';
 import { createCallProgress, type CallSummary } from './callProgress.js';
 import type { CrashDetector } from './crashDetector.js';
 import { stoppingReply, type Drain } from './drain.js';
@@ -17,19 +18,13 @@
 import { createPlacementRequest, updatePlacementRequest } from './placementRequest.js';
 import type { LocalReply, ResponseWriter } from './responseWriter.js';
 import type { RetryBudget } from './retryBudget.js';
-import {
-  decideNextStep,
-  describeAttemptFailure,
-  getFinalStep,
-  type NextStep,
-} from './retryPolicy.js';
+import { decideNextStep, getFinalStep, type NextStep } from './retryPolicy.js';
 import type { RefusalReason, Scheduler } from './scheduler.js';
 import type { StallDetector } from './stallDetector.js';
 import type { AttemptFailure, Call, Dialect, ResponseHead } from './types.js';
 
 /** Larger responses are forwarded as they arrive and not retried once they have started. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
-const REFUSED_CODE = 'ECONNREFUSED';
 
 /** Dependencies of a handler. */
 export interface CallHandlerHost {
@@ -293,7 +288,7 @@
   }
 
   function failAttempt(attempt: Attempt, failure: AttemptFailure, decided?: NextStep): void {
-    recordFailure(attempt.endpoint, failure);
+    recordAttemptFailure(attempt.endpoint.health, failure, clock.now());
     attempt.exchange?.abort();
     endAttempt(attempt);
     splitter?.dropPartialEvent();
@@ -330,13 +325,6 @@
     scheduler.submit(placement);
   }
 
-  function recordFailure({ health }: Endpoint, failure: AttemptFailure): void {
-    const now = clock.now();
-    if (failure.kind === 'notSent') health.recordUnreachable(now, failure.reason === REFUSED_CODE);
-    else if (failure.kind === 'unknown') health.recordBrokenResponse(now);
-    else if (failure.kind === 'failed') health.recordErrorResponse(now);
-  }
-
   function refuse(reason: RefusalReason, retryAfterMs: number): void {
     const remainingMs = call.deadline - clock.now();
     refuseWith({ status: 503, reason, retryAfterMs: Math.min(retryAfterMs, remainingMs / 3) });
--- a/src/gateway/endpointClient.ts
+++ b/src/gateway/endpointClient.ts
@@ -4,6 +4,7 @@
 import type { buildConnector, Dispatcher } from 'undici';
 import { Client } from '../common/httpPool.js';
 import { splitAddress } from '../common/settings.js';
+import { toConnectFailure, type ConnectFailure } from './connectFailure.js';
 
 const CONNECT_TIMEOUT_MS = 600;
 /** Code of undici's error for a request that it cannot write. */
@@ -53,8 +54,8 @@
   abort(): void;
 }
 
-/** Whether an endpoint accepts a connection. `refused` means that nothing listens at its address. */
-export type ProbeOutcome = 'accepted' | 'refused' | 'unanswered';
+/** Whether an endpoint accepts a connection. */
+export type ProbeOutcome = 'accepted' | ConnectFailure;
 
 /** A client of one endpoint. */
 export interface EndpointClient {
@@ -216,7 +217,7 @@
       };
       const timer = setTimeout(() => end('unanswered'), CONNECT_TIMEOUT_MS);
       socket.once('connect', () => end('accepted'));
-      socket.once('error', (error) => end(isRefusal(error) ? 'refused' : 'unanswered'));
+      socket.once('error', (error) => end(toConnectFailure(getCode(error))));
     });
   }
 
@@ -250,15 +251,14 @@
   );
 }
 
-function isRefusal(error: Error): boolean {
-  return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+function getCode(error: Error): string | undefined {
+  return (error as NodeJS.ErrnoException).code;
 }
 
 function isInvalidRequest(error: Error): boolean {
-  return (error as NodeJS.ErrnoException).code === INVALID_REQUEST_CODE;
+  return getCode(error) === INVALID_REQUEST_CODE;
 }
 
 function toReason(error: Error): string {
-  const { code } = error as NodeJS.ErrnoException;
-  return code ?? error.message;
+  return getCode(error) ?? error.message;
 }
--- a/src/gateway/retryPolicy.ts
+++ b/src/gateway/retryPolicy.ts
@@ -71,15 +71,3 @@
   if (runCount >= route.maxAttempts || remainingMs <= MIN_REMAINING_MS) return false;
   return isRetryable(route) && !isCommitted;
 }
-
-/** Formats a failure for log lines. */
-export function describeAttemptFailure(failure: AttemptFailure): string {
-  switch (failure.kind) {
-    case 'notSent':
-    case 'unsendable':
-    case 'unknown':
-      return `${failure.kind}: ${failure.reason}`;
-    default:
-      return `${failure.kind}: ${failure.status}`;
-  }
-}
