Hold a gateway's own lack of descriptors or ports against no endpoint

What callers saw: a gateway that had run out of descriptors for a moment went on refusing requests (503, not run) after it had some again, although its endpoints were free and connected.

Cause: an attempt that could not connect ejects the endpoint at once, whatever the error. EMFILE, ENFILE, EADDRNOTAVAIL, ENOBUFS and ENOMEM arise before anything is sent and concern the gateway or its host. The probe of the crash detector counted them as a crash, too, which makes the parts of the interrupted prompts suspect.

--- a/src/gateway/attemptFailure.ts
+++ b/src/gateway/attemptFailure.ts
@@ -1,7 +1,7 @@
 /** What the failure of an attempt says about its endpoint, and how log lines describe it. */
 
 import { assertNever } from '../common/debug.js';
-import { toConnectFailure } from './connectFailure.js';
+import { toConnectFailure, type ConnectFailure } from './connectFailure.js';
 import type { EndpointHealth } from './endpointHealth.js';
 import type { AttemptFailure } from './types.js';
 
@@ -13,7 +13,7 @@
 ): void {
   switch (failure.kind) {
     case 'notSent':
-      health.recordUnreachable(now, toConnectFailure(failure.reason) === 'refused');
+      recordConnectFailure(health, toConnectFailure(failure.reason), now);
       break;
     case 'unknown':
       health.recordBrokenResponse(now);
@@ -29,6 +29,10 @@
   }
 }
 
+function recordConnectFailure(health: EndpointHealth, failure: ConnectFailure, now: number): void {
+  if (failure !== 'notTried') health.recordUnreachable(now, failure === 'refused');
+}
+
 /** Formats a failure for log lines. */
 export function describeAttemptFailure(failure: AttemptFailure): string {
   switch (failure.kind) {
--- a/src/gateway/crashDetector.ts
+++ b/src/gateway/crashDetector.ts
@@ -53,7 +53,7 @@
     const outcome = await endpoint.client.probe();
     const interrupted = probed.get(endpoint) ?? [];
     probed.delete(endpoint);
-    if (outcome === 'accepted') return;
+    if (outcome === 'accepted' || outcome === 'notTried') return;
     logCrash(endpoint, interrupted);
     host.onCrash(endpoint, interrupted, outcome === 'refused');
   }
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -216,6 +216,17 @@
     assert.equal(health.isEjected, false);
   });
 
+  it('ejects no endpoint for descriptors, ports or memory that the gateway lacks', () => {
+    for (const code of ['EMFILE', 'ENFILE', 'EADDRNOTAVAIL', 'ENOBUFS', 'ENOMEM']) {
+      const handling = startHandler('nonIdempotent', 1);
+      const { health } = handling.place();
+      handling.exchanges[0]?.onFailure(false, code);
+      assert.equal(handling.submitted.length, 2, 'the request has not run and is sent again');
+      assert.equal(health.isEjected, false, code);
+      handling.cancel();
+    }
+  });
+
   it('retries a stalled attempt at another endpoint', () => {
     started = startHandler('idempotent', 2);
     started.place();
--- a/test/unit/gateway/crashDetector.test.ts
+++ b/test/unit/gateway/crashDetector.test.ts
@@ -59,6 +59,14 @@
     assert.deepEqual(crashes, []);
   });
 
+  it('counts no crash if the gateway itself lacks what a connection needs', async () => {
+    const { detector, endpoint, crashes, logged } = startDetector('notTried');
+    detector.recordInterruption(endpoint, { call: createTestCall({}), hasBegun: false });
+    await settle();
+    assert.deepEqual(crashes, []);
+    assert.deepEqual(logged, []);
+  });
+
   it('takes the process for ended only if a connection is refused', async () => {
     for (const outcome of ['refused', 'unanswered'] as const) {
       const { detector, endpoint, refusals } = startDetector(outcome);
