Let a leader with a slow disk serve if no other disk is faster

Callers of a keeper whose writes take longer than an election timeout (0.6 s) had each change answered with 503, for as long as the disk stayed slow: of a keeper without others, or where no other leads in its place.

Cause: since a leader lets another replica lead when its disk does not return, it gave up in every write, the write of its own election included. The limit was the same however often it had turned out too short.

Evidence: a store with writes of 0.8 s.

The limit doubles each time a leader has given up, up to the time after which a proposal is rejected, and returns to one election timeout with the first operation that is faster. A replica that does not lead still starts no election after one election timeout.

--- a/src/keeper/replica.ts
+++ b/src/keeper/replica.ts
@@ -29,6 +29,8 @@
 const PROPOSAL_TIMEOUT_MS = 5_000;
 /** A leader whose disk does not return for this long lets another replica lead. */
 const LEADER_DISK_TIMEOUT_MS = ELECTION_TIMEOUT_MS;
+/** That time grows so far while no operation is faster: no other disk may be any better. */
+const MAX_LEADER_DISK_TIMEOUT_MS = PROPOSAL_TIMEOUT_MS;
 /** Maximum time that a stop waits for an operation of the disk that does not return. */
 const STORE_CLOSE_TIMEOUT_MS = 2_000;
 const MAX_TRAILING_ENTRIES = 500;
@@ -107,6 +109,7 @@
   let isLeader = false;
   /** When the operation of the store that runs began. */
   let storeBusySince: number | undefined;
+  let leaderDiskTimeoutMs = LEADER_DISK_TIMEOUT_MS;
   let snapshotWaiters: ((index: number) => void)[] = [];
   let loopDone = Promise.resolve();
   if (snapshot !== undefined) {
@@ -222,11 +225,15 @@
   }
 
   async function useStore<Result>(run: () => Promise<Result>): Promise<Result> {
-    storeBusySince = clock.now();
+    const startedAt = clock.now();
+    storeBusySince = startedAt;
     try {
       return await run();
     } finally {
       storeBusySince = undefined;
+      if (clock.now() - startedAt < LEADER_DISK_TIMEOUT_MS) {
+        leaderDiskTimeoutMs = LEADER_DISK_TIMEOUT_MS;
+      }
     }
   }
 
@@ -235,12 +242,15 @@
   }
 
   function isDiskStalled(): boolean {
-    return getDiskBusyMs() > LEADER_DISK_TIMEOUT_MS;
+    return (
+      getDiskBusyMs() > (raft.role === 'leader' ? leaderDiskTimeoutMs : LEADER_DISK_TIMEOUT_MS)
+    );
   }
 
   function stopLeading(): void {
     if (raft.role !== 'leader') return;
     raft.stopLeading(clock.now());
+    leaderDiskTimeoutMs = Math.min(2 * leaderDiskTimeoutMs, MAX_LEADER_DISK_TIMEOUT_MS);
     updateRole();
     rejectProposals('the disk of the leader does not answer');
   }
--- a/test/unit/keeper/replicaDisk.test.ts
+++ b/test/unit/keeper/replicaDisk.test.ts
@@ -15,6 +15,8 @@
 const command: Command = { change: { $case: 'drainRequest', value: { id: 'x', draining: false } } };
 /** A caller of the operators' interface gives up after 5 s. */
 const EARLY_ANSWER_MS = 2_000;
+/** Longer than a leader waits for its disk at first. */
+const SLOW_WRITE_MS = 800;
 
 const leader: Replica = { id: 'k1', storeId: 's1', address: 'k1', operatorAddress: '' };
 
@@ -22,7 +24,7 @@
 function createStallingStore(voters: Replica[]) {
   const membership = { voters, learners: [] };
   const payload = { $case: 'membership' as const, value: membership };
-  const stalls = { isStalled: false, isClosed: false };
+  const stalls = { isStalled: false, isClosed: false, writeMs: 0 };
   const store: Store = {
     storeId: self.storeId,
     state: {
@@ -35,6 +37,7 @@
       tornBytes: 0,
     },
     async write() {
+      if (stalls.writeMs > 0) await delay(stalls.writeMs);
       while (stalls.isStalled && !stalls.isClosed) await delay(10);
       if (stalls.isClosed) throw new RaisedFailure({ kind: 'unavailable', reason: 'closed' });
     },
@@ -104,6 +107,13 @@
     assert.equal((await replica.propose(command)).kind, 'member');
   });
 
+  it('serves although each write takes longer than an election timeout', async () => {
+    stalls.writeMs = SLOW_WRITE_MS;
+    const tryPropose = (): Promise<unknown> => replica.propose(command).catch(() => undefined);
+    await waitFor('a change to be accepted', tryPropose);
+    assert.equal((await replica.propose(command)).kind, 'member');
+  });
+
   it('writes no snapshot of what a snapshot from the leader is about to replace', async () => {
     await replica.stop();
     start([self, leader]);
