--- a/src/keeper/replica.ts
+++ b/src/keeper/replica.ts
@@ -27,6 +27,7 @@
 
 const TICK_INTERVAL_MS = 20;
 const PROPOSAL_TIMEOUT_MS = 5_000;
+const SNAPSHOT_TIMEOUT_MS = 5_000;
 /** A leader whose disk does not return for this long lets another replica lead. */
 const LEADER_DISK_TIMEOUT_MS = ELECTION_TIMEOUT_MS;
 /** That time grows so far while no operation is faster: no other disk may be any better. */
@@ -79,7 +80,7 @@
    * entries committed before the call. Resolves to false if that fails.
    */
   confirmLeadership(): Promise<boolean>;
-  /** Writes a snapshot now. Resolves with its index. */
+  /** Writes a snapshot now. Resolves with its index, or raises `unavailable` if that takes long. */
   snapshot(): Promise<number>;
   stop(): Promise<void>;
 }
@@ -110,6 +111,7 @@
   /** When the operation of the store that runs began. */
   let storeBusySince: number | undefined;
   let leaderDiskTimeoutMs = LEADER_DISK_TIMEOUT_MS;
+  /** Called with the index of the next snapshot. */
   let snapshotWaiters: ((index: number) => void)[] = [];
   let loopDone = Promise.resolve();
   if (snapshot !== undefined) {
@@ -156,11 +158,7 @@
       return isProposed;
     },
     confirmLeadership,
-    snapshot: () =>
-      new Promise((resolve) => {
-        snapshotWaiters.push(resolve);
-        processReady();
-      }),
+    snapshot: requestSnapshot,
     stop,
   };
 
@@ -187,6 +185,19 @@
     return confirmed;
   }
 
+  function requestSnapshot(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      const timeout = setTimeout(() => {
+        reject(createUnavailableError('the snapshot is not written in time'));
+      }, SNAPSHOT_TIMEOUT_MS);
+      snapshotWaiters.push((index) => {
+        clearTimeout(timeout);
+        resolve(index);
+      });
+      processReady();
+    });
+  }
+
   function processReady(): void {
     if (isLoopRunning || isStopped) return;
     isLoopRunning = true;
--- a/test/unit/keeper/replicaDisk.test.ts
+++ b/test/unit/keeper/replicaDisk.test.ts
@@ -15,6 +15,8 @@
 const command: Command = { change: { $case: 'drainRequest', value: { id: 'x', draining: false } } };
 /** A caller of the operators' interface gives up after 5 s. */
 const EARLY_ANSWER_MS = 2_000;
+/** Time that the platform leaves a process to stop, in which it answers its callers first. */
+const STOP_LIMIT_MS = 8_000;
 /** Longer than a leader waits for its disk at first. */
 const SLOW_WRITE_MS = 800;
 
@@ -114,6 +116,14 @@
     assert.equal((await replica.propose(command)).kind, 'member');
   });
 
+  it('answers a request for a snapshot that waits for the disk', async () => {
+    stalls.isStalled = true;
+    const rejected = assert.rejects(replica.propose(command), RaisedFailure);
+    const answered = assert.rejects(replica.snapshot(), RaisedFailure).then(() => 'answered');
+    assert.equal(await Promise.race([answered, delay(STOP_LIMIT_MS)]), 'answered');
+    await rejected;
+  });
+
   it('writes no snapshot of what a snapshot from the leader is about to replace', async () => {
     await replica.stop();
     start([self, leader]);
