Let a store close although the close of its file fails

Cause: an error of the close was passed on, although nothing depends on it: what was acknowledged is synced, and everything else was never promised.

--- a/src/keeper/store.ts
+++ b/src/keeper/store.ts
@@ -146,7 +146,8 @@
   async function close(): Promise<void> {
     closing.abort();
     await running;
-    await log.close();
+    // All that was acknowledged is synced.
+    await log.close().catch(() => {});
   }
 }
 
--- a/test/unit/keeper/storeFaults.test.ts
+++ b/test/unit/keeper/storeFaults.test.ts
@@ -157,6 +157,18 @@
     await rejected;
   });
 
+  it('closes with all that it acknowledged, although the close of its file fails', async () => {
+    let isFailing = false;
+    startDisk((operation) => (isFailing && operation === 'close' ? { code: 'EIO' } : undefined));
+    const store = await openStore(folder, logger);
+    await store.write({ term: 1, votedFor: '' }, [createEntry(1)]);
+    isFailing = true;
+    await store.close();
+    isFailing = false;
+    disk.losePower();
+    assert.deepEqual(listIndexes(await readAll()), [1]);
+  });
+
   it('moves a damaged folder aside under a name that is not taken', async () => {
     const names = [7, 8].map((suffix) => `${folder}.corrupt-${suffix}`);
     mkdirSync(join(names[0] ?? '', 'earlier'), { recursive: true });
