End a process that has stopped although its disk does not return

A keeper whose disk did not return was still there after a SIGTERM, long after it had logged that it had stopped, until the disk returned or the platform killed it; who restarts it waits.

Cause: the stop waits for the store for 2 s at most, but the exit of Node.js waits for every thread of its pool, and the thread that writes or syncs waits for the disk. The tests of stalled disks delay the result of an operation and block no thread.

A process that has stopped now gives operations on files 1 s to end, and then kills itself, as it does already if a thread is blocked in a write of the log. An exit after an internal error is as before.

--- a/src/common/logging.ts
+++ b/src/common/logging.ts
@@ -2,6 +2,7 @@
 
 import loglevel from 'loglevel';
 import { events, type EventFields } from '../generated/events.js';
+import { delay } from './delay.js';
 import { createLogSink, type LogSink } from './logSink.js';
 
 type Level = 'trace' | 'debug' | 'info' | 'warn' | 'error';
@@ -11,14 +12,32 @@
   event<Name extends keyof EventFields>(name: Name, fields: EventFields[Name]): void;
 }
 
+/** Resources of Node.js that occupy a thread, for which a regular exit waits. */
+const threadResources = new Set(['FSReqCallback', 'FSReqPromise', 'GetAddrInfoReqWrap']);
+/** Time that operations on files have to end before the process does. */
+const THREADS_TIMEOUT_MS = 1_000;
+const THREADS_POLL_MS = 20;
+
 let processSink: LogSink | undefined;
 
-/** Exits after a regular stop, once the reader of the log has taken the buffered lines. */
+/**
+ * Exits after a regular stop, once the reader of the log has taken the buffered lines. If a thread
+ * is blocked, for example by a disk that does not return, the process kills itself.
+ */
 export async function endProcess(exitCode: number): Promise<void> {
   await processSink?.flush();
+  const deadline = performance.now() + THREADS_TIMEOUT_MS;
+  while (hasBusyThread()) {
+    if (performance.now() > deadline) process.kill(process.pid, 'SIGKILL');
+    await delay(THREADS_POLL_MS);
+  }
   abortProcess(exitCode);
 }
 
+function hasBusyThread(): boolean {
+  return process.getActiveResourcesInfo().some((resource) => threadResources.has(resource));
+}
+
 /**
  * Exits at once; used after an internal error. Buffered log lines are written as far as the reader
  * takes them. If a thread is blocked in a write, a regular exit would wait for that thread, so the
--- a/test/integration/signals.test.ts
+++ b/test/integration/signals.test.ts
@@ -107,4 +107,18 @@
       }
     });
   }
+
+  it('to a keeper with a thread that waits for its disk are obeyed in time', async () => {
+    const daemon = await createDaemon('keeper');
+    const blocked = daemon.startBlocked();
+    try {
+      await waitFor('it starts', () => countEvents(blocked, 'processStarted') === 1);
+      blocked.signal('SIGTERM');
+      await waitFor('the daemon ends', () => !blocked.isRunning, STOP_LIMIT_MS);
+      await waitFor('its last line', () => countEvents(blocked, 'processStopped') === 1);
+    } finally {
+      await blocked.kill();
+      daemon.removeFolder();
+    }
+  });
 });
