Keep only the newest of the tables that wait at a keeper

What operators saw: 90 configurations of 4.18 MB, 8 at a time, took keepers of the deploy file to 358 to 420 MB, over the 346 MB at which the platform ends a process.

Cause: a table replaces all earlier ones, yet each that was declared meanwhile was kept, proposed, written and sent on its own, with no bound in bytes. Ruled out by the trace: bodies being read (none at the peak) and the heap (11 MB of 360).

Evidence: a trial that printed memory and what each part held, every 20 ms. At the peak of the leader, 207 MB were in buffers; five tables were proposed and waited for the disk together, 9 to 14 were in the log (37 to 58 MB), and 3 to 6 updates waited on each stream to the feed of another keeper, which throws their tables away.

Change: one table at a time on its way to the leader and to the log; of those that wait, the one with the highest revision goes on, and its outcome is theirs. The feed holds one table for each subscriber and few large ones at once, and sends keepers none. Four bodies over 512 KiB are read and handled at once; others wait up to 2 s and get 503 with Retry-After, unread. A batch of the log is copied once less.

--- a/src/common/failure.ts
+++ b/src/common/failure.ts
@@ -22,6 +22,7 @@
   | { kind: 'unknownMember'; id: string }
   | { kind: 'notLeader'; leader: string | undefined }
   | { kind: 'unavailable'; reason: string }
+  | { kind: 'overloaded'; retryAfterMs: number }
   | { kind: 'unauthorized' }
   | { kind: 'usage'; message: string }
   | { kind: 'unreachable'; address: string; reason: string }
@@ -68,6 +69,8 @@
       return `this keeper does not lead; leader: ${failure.leader ?? 'unknown'}`;
     case 'unreachable':
       return `cannot reach ${failure.address}: ${failure.reason}`;
+    case 'overloaded':
+      return 'too many large bodies are being handled';
     case 'unauthorized':
       return 'the operator key is missing or wrong';
     case 'usage':
--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -2,6 +2,7 @@
 
 import { join } from 'node:path';
 import type { Metadata } from '@grpc/grpc-js';
+import type { BodyAdmission } from '../common/bodyAdmission.js';
 import type { Clock } from '../common/clock.js';
 import { describeFailure, toFailure } from '../common/failure.js';
 import type { Logger } from '../common/logging.js';
@@ -37,6 +38,7 @@
   metrics: MetricsRecorder;
   metadata: Metadata;
   peers: Peers;
+  bodies: BodyAdmission;
   adapter: Adapter | undefined;
   getSeeds(): readonly string[];
   tryGetReplica(): RunningReplica | undefined;
@@ -100,7 +102,7 @@
     crashRecords,
     onCrashRecords: (records) => records.forEach(crashRecords.merge),
     streamOrigins: undefined,
-    onTable() {},
+    onTable: undefined,
     onAnnouncements: (announcements) => announcements.forEach(announce),
     onReports() {},
   });
@@ -113,6 +115,7 @@
           logger,
           listen: controlListen,
           authority,
+          bodies: host.bodies,
           announce,
           listAnnouncements: (endpointId) => registry.listOf(endpointId),
         });
--- a/src/daemon/keeperProcess.ts
+++ b/src/daemon/keeperProcess.ts
@@ -1,6 +1,7 @@
 /** The keeper role: store, Raft replica, member sessions, and the operators' API. */
 
 import { join } from 'node:path';
+import { createBodyAdmission } from '../common/bodyAdmission.js';
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logging.js';
 import type { MetricsRecorder } from '../common/metricsRecorder.js';
@@ -68,8 +69,10 @@
   });
   const server = createServer();
   server.addService(KeeperService, service);
+  const bodies = createBodyAdmission(logger);
   const operatorApi = await startOperatorApi({
     settings,
+    bodies,
     clock,
     logger,
     sessions,
@@ -83,6 +86,7 @@
     metrics,
     metadata,
     peers,
+    bodies,
     adapter,
     getSeeds: () => seeds,
     tryGetReplica: () => replica,
--- a/src/daemon/types.ts
+++ b/src/daemon/types.ts
@@ -1,5 +1,6 @@
 /** Interfaces between the daemon, its roles and platform adapters. */
 
+import type { BodyAdmission } from '../common/bodyAdmission.js';
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logging.js';
 import type { ProcessSettings } from '../common/settings.js';
@@ -23,6 +24,8 @@
   /** host:port. */
   listen: string;
   authority: TableAuthority;
+  /** Admits the bodies of all operators' calls. */
+  bodies: BodyAdmission;
   /** Registers an announcement and forwards it to all gateways, unless it is not valid. */
   announce(announcement: Announcement): MergeOutcome;
   /** Returns the newest announcement of an endpoint in each pool that it has named. */
--- a/src/feed/feedClient.ts
+++ b/src/feed/feedClient.ts
@@ -60,7 +60,8 @@
   onCrashRecords(records: CrashRecord[]): void;
   /** Sent to each keeper as they are added; undefined if this process begins no streams. */
   streamOrigins: Pick<StreamOrigins, 'openCursor'> | undefined;
-  onTable(table: TableDocument, isConfirmed: boolean): void;
+  /** Undefined if this process has no use for tables, which are not sent to it then. */
+  onTable: ((table: TableDocument, isConfirmed: boolean) => void) | undefined;
   onAnnouncements(announcements: Announcement[]): void;
   onReports(reports: GatewayReport[]): void;
 }
@@ -202,7 +203,7 @@
     if (update.keepers.length > 0) link.keepers = update.keepers;
     if (update.announcements.length > 0) host.onAnnouncements(update.announcements);
     if (update.crashRecords.length > 0) host.onCrashRecords(update.crashRecords);
-    if (update.table !== undefined) host.onTable(update.table, update.confirmed);
+    if (update.table !== undefined) host.onTable?.(update.table, update.confirmed);
     if (update.reports.length > 0) host.onReports(update.reports);
   }
 
@@ -233,6 +234,7 @@
       announcements: [],
       crashRecords: [],
       streamOrigins: [],
+      ignoresTables: host.onTable === undefined,
       ...message,
     });
   }
--- a/src/feed/feedServer.ts
+++ b/src/feed/feedServer.ts
@@ -13,6 +13,7 @@
 import type { TableDocument } from '../generated/keeper.js';
 import type { EndpointRegistry, MergeOutcome } from '../registry/registry.js';
 import type { StreamOrigins } from '../streams/streamOrigins.js';
+import { createTableDelivery } from './tableDelivery.js';
 
 /** Interval of the updates that forward reports and show subscribers that this keeper is alive. */
 const PUSH_INTERVAL_MS = 100;
@@ -52,6 +53,7 @@
   id: string;
   stream: FeedStream;
   wantsReports: boolean;
+  wantsTables: boolean;
   /** Whether it has been sent a table that a majority of keepers confirmed. */
   isTableConfirmed: boolean;
   /** Follows the crash records that it has been sent. */
@@ -71,6 +73,7 @@
   const subscribers = new Set<Subscriber>();
   const reports = new Map<string, StoredReport>();
   let isConfirming = false;
+  const tables = createTableDelivery<Subscriber>({ clock, write });
   const pushTimer = setInterval(pushUpdates, PUSH_INTERVAL_MS);
 
   return { serve, publishTable, announce, close };
@@ -80,6 +83,7 @@
       id: '',
       stream,
       wantsReports: false,
+      wantsTables: true,
       isTableConfirmed: false,
       crashCursor: host.crashRecords.openCursor(),
       lastSentKeepers: '',
@@ -96,6 +100,7 @@
   function handleMessage(subscriber: Subscriber, message: FeedMessage): void {
     if (message.deployment !== host.deployment) return;
     subscriber.wantsReports = message.wantsReports;
+    subscriber.wantsTables = !message.ignoresTables;
     if (!subscribers.has(subscriber)) addSubscriber(subscriber, message.followerId);
     for (const announcement of message.announcements) announce(announcement);
     for (const record of message.crashRecords) host.crashRecords.merge(record);
@@ -112,7 +117,12 @@
     const table = host.getTable();
     // The table lets a gateway serve; by then it has to know which requests crash endpoints.
     const crashRecords = subscriber.crashCursor.takeChanged();
-    send(subscriber, { announcements: registry.list(), crashRecords, table });
+    const announcements = registry.list();
+    if (!subscriber.wantsTables) {
+      send(subscriber, { announcements, crashRecords });
+      return;
+    }
+    tables.push(subscriber, { announcements, crashRecords, table });
     void sendConfirmedTable();
   }
 
@@ -121,7 +131,9 @@
    * push; one confirmation serves all subscribers that were added before it was asked for.
    */
   async function sendConfirmedTable(): Promise<void> {
-    const waiting = [...subscribers].filter(({ isTableConfirmed }) => !isTableConfirmed);
+    const waiting = [...subscribers].filter(
+      ({ wantsTables, isTableConfirmed }) => wantsTables && !isTableConfirmed,
+    );
     if (isConfirming || waiting.length === 0) return;
     isConfirming = true;
     const table = await host.readConfirmedTable();
@@ -129,13 +141,15 @@
     if (table === undefined) return;
     for (const subscriber of waiting) {
       subscriber.isTableConfirmed = true;
-      send(subscriber, { table, confirmed: true });
+      if (subscribers.has(subscriber)) tables.push(subscriber, { table, confirmed: true });
     }
   }
 
   function publishTable(): void {
     const table = host.getTable();
-    for (const subscriber of subscribers) send(subscriber, { table });
+    for (const subscriber of subscribers) {
+      if (subscriber.wantsTables) tables.push(subscriber, { table });
+    }
     void sendConfirmedTable();
   }
 
@@ -176,6 +190,7 @@
         crashRecords: subscriber.crashCursor.takeChanged(),
       });
     }
+    tables.advance();
     void sendConfirmedTable();
   }
 
@@ -191,7 +206,11 @@
   }
 
   function send(subscriber: Subscriber, update: Partial<FeedUpdate>): void {
-    subscriber.stream.write({
+    write(subscriber, update, () => {});
+  }
+
+  function write({ stream }: Subscriber, update: Partial<FeedUpdate>, onTaken: () => void): void {
+    const full = {
       table: undefined,
       confirmed: false,
       announcements: [],
@@ -199,11 +218,13 @@
       reports: [],
       crashRecords: [],
       ...update,
-    });
+    };
+    stream.write(full, onTaken);
   }
 
   function removeSubscriber(subscriber: Subscriber): void {
     if (!subscribers.delete(subscriber)) return;
+    tables.remove(subscriber);
     logger.event('followerDisconnected', { follower: subscriber.id });
   }
 
--- a/src/keeper/operatorApi.ts
+++ b/src/keeper/operatorApi.ts
@@ -3,6 +3,7 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import polka from 'polka';
+import type { BodyAdmission } from '../common/bodyAdmission.js';
 import type { Clock } from '../common/clock.js';
 import { describeFailure, raise, toFailure, type Failure } from '../common/failure.js';
 import { readBody, startServer } from '../common/httpServer.js';
@@ -26,6 +27,7 @@
   clock: Clock;
   logger: Logger;
   sessions: Sessions;
+  bodies: BodyAdmission;
   tryGetReplica(): RunningReplica | undefined;
 }
 
@@ -44,8 +46,10 @@
   route('get', '/v1/things/:kind', async (_request, { kind }) => listThings(kind ?? ''));
   route('get', '/v1/tickets', async () => ({ tickets: listTickets() }));
   route('get', '/v1/tickets/:number', async (_request, { number }) => showTicket(Number(number)));
-  route('post', '/v1/tickets', submitTicket);
-  route('post', '/v1/tickets/check', checkTicket);
+  route('post', '/v1/tickets', (request) => host.bodies.run(request, () => submitTicket(request)));
+  route('post', '/v1/tickets/check', (request) =>
+    host.bodies.run(request, () => checkTicket(request)),
+  );
   route('post', '/v1/drain/:id', (_request, { id }) => drain(id ?? '', true));
   route('post', '/v1/undrain/:id', (_request, { id }) => drain(id ?? '', false));
   route('post', '/v1/snapshot', async () => ({ index: await getReplica().snapshot() }));
@@ -206,6 +210,9 @@
     sendProblem(response, 307, failure);
     return;
   }
+  if (failure.kind === 'overloaded') {
+    response.setHeader('Retry-After', (failure.retryAfterMs / 1_000).toFixed(2));
+  }
   sendProblem(response, toStatus(failure), failure);
 }
 
--- a/src/keeper/store.ts
+++ b/src/keeper/store.ts
@@ -117,7 +117,7 @@
     hardState: HardState,
     entries: readonly LogEntry[],
   ): Promise<number> {
-    const payload = Buffer.from(SnapshotFile.encode(next).finish());
+    const payload = toBuffer(SnapshotFile.encode(next).finish());
     const records = encodeBatch(hardState, entries);
     await retry('write the snapshot', async () => {
       await replaceFile(snapshotPath, encodeRecord(payload));
@@ -289,5 +289,10 @@
     records.unshift({ record: { $case: 'hardState', value: hardState } });
   }
   if (records.length === 0) return Buffer.alloc(0);
-  return encodeRecord(Buffer.from(LogBatch.encode({ records }).finish()));
+  return encodeRecord(toBuffer(LogBatch.encode({ records }).finish()));
+}
+
+/** Returns a view, since tables are large. */
+function toBuffer({ buffer, byteOffset, length }: Uint8Array): Buffer {
+  return Buffer.from(buffer, byteOffset, length);
 }
--- a/src/keeper/tableAuthority.ts
+++ b/src/keeper/tableAuthority.ts
@@ -5,6 +5,7 @@
 import { deadlineIn } from '../common/rpc.js';
 import type { ControlClient, DeclareResponse, ReadTableRequest } from '../generated/control.js';
 import type { TableDocument } from '../generated/keeper.js';
+import { createDeclarations, type Declarations, type DeclareAlone } from './declarations.js';
 import type { RunningReplica } from './replica.js';
 
 /** Longer than a commit takes on a slow disk, shorter than the timeout of an operator's call. */
@@ -39,6 +40,8 @@
 
 /** Creates the authority. */
 export function createTableAuthority(host: TableAuthorityHost): TableAuthority {
+  let newest: { leaderTerm: string; declarations: Declarations } | undefined;
+
   return {
     get current() {
       return getCurrent();
@@ -63,12 +66,32 @@
     if (table.revision <= revision) return { outcome: 'superseded', revision };
     const leader = tryGetOtherLeader();
     if (leader === undefined) return declareLocally(table);
-    return call<DeclareResponse>((done) =>
-      leader.declare(table, host.metadata, deadlineIn(DECLARE_TIMEOUT_MS), done),
-    );
+    return getDeclarations((declared) =>
+      call<DeclareResponse>((done) =>
+        leader.declare(declared, host.metadata, deadlineIn(DECLARE_TIMEOUT_MS), done),
+      ),
+    ).declare(table);
   }
 
   async function declareLocally(table: TableDocument): Promise<DeclareResponse> {
+    const { raft } = getReplica();
+    if (raft.role !== 'leader') {
+      return raise({ kind: 'notLeader', leader: raft.leader?.operatorAddress });
+    }
+    return getDeclarations(propose).declare(table);
+  }
+
+  /** Those of the leader and term of the moment: a leader that is gone must not hold up others. */
+  function getDeclarations(run: DeclareAlone): Declarations {
+    const { raft } = getReplica();
+    const leaderTerm = `${raft.leader?.storeId} ${raft.term}`;
+    if (newest?.leaderTerm !== leaderTerm) {
+      newest = { leaderTerm, declarations: createDeclarations(run, DECLARE_TIMEOUT_MS) };
+    }
+    return newest.declarations;
+  }
+
+  async function propose(table: TableDocument): Promise<DeclareResponse> {
     const replica = getReplica();
     const change = { $case: 'tableDeclare' as const, value: table };
     const result = await replica.propose({ change });
