Cut no stream of an incarnation that announces itself

Callers got streams joined from two software versions (ORDER) when an endpoint without streams started again under its id in another version.

Cause: a gateway that sent the endpoint nothing while it was down began streams there before its first heartbeat, under the announcement of the incarnation that was gone. At the heartbeat it closed all connections to the address, and so cut streams that ran at the incarnation which announced itself, and resumed them at endpoints of the old version.

No response broke off there before, so no probe was made: the other suspected cause, a probe that comes when the endpoint is up again, was not seen.

Change: when an endpoint announces another incarnation at the same address, connections on which something has arrived within 700 ms stay until their responses end, as they can only be to it. A stream that it began is continued at its version; a continuation that has sent no event yet is given up if its endpoint turns out to be of another version.

Result: of the unit tests, `go on where it had served them before its first announcement` and `resumes a stream at the version of the incarnation that announced itself after it began` failed before and pass.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -8,6 +8,8 @@
 /** An attempt in progress. */
 export interface Attempt {
   readonly endpoint: Endpoint;
+  /** Of the incarnation that sends the response, which may have announced itself only after it began. */
+  readonly softwareVersion: string;
   readonly sentAt: number;
   /** Undefined until the request has been passed to the endpoint's client. */
   exchange: Exchange | undefined;
@@ -48,6 +50,11 @@
 
   return {
     endpoint,
+    get softwareVersion() {
+      const { announcement, successor } = endpoint;
+      const isSuccessor = successor !== undefined && (lastByteAt ?? 0) >= successor.since;
+      return isSuccessor ? successor.softwareVersion : announcement.softwareVersion;
+    },
     sentAt,
     exchange: undefined,
     watched: undefined,
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -21,6 +21,7 @@
 import { decideNextStep, getFinalStep, type NextStep } from './retryPolicy.js';
 import type { RefusalReason, Scheduler } from './scheduler.js';
 import type { StallDetector } from './stallDetector.js';
+import { createStreamVersion } from './streamVersion.js';
 import type { AttemptFailure, Call, Dialect, ResponseHead } from './types.js';
 
 /** Larger responses are forwarded as they arrive and not retried once they have started. */
@@ -61,7 +62,7 @@
   writer: ResponseWriter,
 ): CallHandler {
   const { clock, logger, scheduler, endpoints, retryBudget, dialect } = host;
-  const { route, head: requestHead } = call;
+  const { route, pool, head: requestHead } = call;
   const isStream = route.kind === 'stream';
   const splitter = createSplitter(route);
   const excluded = new Set<string>();
@@ -77,6 +78,7 @@
     onPlaced: send,
     onRefused: refuse,
   });
+  const version = createStreamVersion(placement);
   const cancelTimeout = callAt(clock, call.deadline, timeOut);
   scheduler.submit(placement);
 
@@ -199,12 +201,17 @@
 
   function forward(attempt: Attempt, head: ResponseHead, chunk: Buffer): boolean {
     attempt.recordChunk();
+    if (!version.admits(attempt)) {
+      failAttempt(attempt, { kind: 'unknown', reason: 'another software version' });
+      return true;
+    }
     const bytes = splitter?.push(chunk);
     if (splitter?.isTooLong) {
       failAttempt(attempt, { kind: 'unknown', reason: 'event without end' });
       return true;
     }
     if (bytes === undefined) return true;
+    version.recordForwarded(attempt);
     if (splitter?.hasCompleteEvent) recordBegun();
     if (!writer.hasStarted) startStream(attempt, head);
     progress.recordForwarded();
@@ -217,16 +224,9 @@
     host.crashSuspects.recordBegun(call);
   }
 
-  function startStream({ endpoint }: Attempt, head: ResponseHead): void {
-    const { softwareVersion } = endpoint.announcement;
-    placement.softwareVersion = softwareVersion;
+  function startStream({ softwareVersion }: Attempt, head: ResponseHead): void {
     if (route.isResumable) {
-      host.recordStreamOrigin({
-        callId: requestHead.id,
-        pool: call.pool,
-        softwareVersion,
-        ageMs: 0,
-      });
+      host.recordStreamOrigin({ callId: requestHead.id, pool, softwareVersion, ageMs: 0 });
     }
     hasStreamStarted = true;
     startResponse(head);
@@ -288,17 +288,17 @@
   }
 
   function failAttempt(attempt: Attempt, failure: AttemptFailure, decided?: NextStep): void {
+    version.recordFailure(attempt);
     recordAttemptFailure(attempt.endpoint.health, failure, clock.now());
     attempt.exchange?.abort();
     endAttempt(attempt);
     splitter?.dropPartialEvent();
     if (failure.kind === 'unknown' || failure.kind === 'failed') progress.runCount += 1;
     const step = decided ?? decide(failure, progress.runCount);
-    const { endpointId, softwareVersion } = attempt.endpoint.announcement;
     logger.event('sendFailed', {
       request: requestHead.id,
-      endpoint: endpointId,
-      softwareVersion,
+      endpoint: attempt.endpoint.announcement.endpointId,
+      softwareVersion: attempt.softwareVersion,
       failure: describeAttemptFailure(failure),
       next: step.kind,
       sends: progress.attemptCount,
@@ -316,7 +316,7 @@
     const facts = { failure, route, runCount: runs, attemptCount, remainingMs, isCommitted };
     const step = decideNextStep(facts);
     if (step.kind !== 'sendAgain' || !step.needsBudget) return step;
-    if (retryBudget.tryConsume(call.pool)) return step;
+    if (retryBudget.tryConsume(pool)) return step;
     return getFinalStep(facts);
   }
 
@@ -364,7 +364,7 @@
   function releaseSlot(endpoint: Endpoint): void {
     endpoint.running -= 1;
     endpoint.slotLimiter.recordRelease();
-    scheduler.release(call.pool);
+    scheduler.release(pool);
   }
 
   function finish(outcome: CallSummary['outcome'], status: number, reason: string): void {
--- a/src/gateway/endpointClient.ts
+++ b/src/gateway/endpointClient.ts
@@ -62,8 +62,11 @@
   send(request: EndpointRequest, handler: ResponseHandler): Exchange;
   /** Opens a connection, and sends nothing on it. */
   probe(): Promise<ProbeOutcome>;
-  /** Closes each connection once its request has ended; nothing may be sent any more. */
-  retire(): void;
+  /**
+   * Closes all connections but those on which something has arrived since `since`; these are closed
+   * at the end of their responses. Nothing may be sent afterwards.
+   */
+  retire(since: number): void;
   /** Closes all connections and ends their requests. */
   close(): void;
 }
@@ -74,12 +77,14 @@
   socket: Socket | undefined;
   /** Bytes received on the socket up to the latest part of a response. */
   bytesAtProgress: number;
+  /** When it was opened, or when the latest part of a response arrived. */
+  heardAt: number;
   /** Whether its socket has failed since it was last opened. */
   hasFailed: boolean;
 }
 
 /** Creates a client of the endpoint at `address` (host:port). */
-export function createEndpointClient(address: string): EndpointClient {
+export function createEndpointClient(address: string, now: () => number): EndpointClient {
   const connections = new Set<Connection>();
   // Used as a stack: the most recently used connection is reused first, so that unneeded ones reach
   // their idle timeout.
@@ -92,6 +97,7 @@
       client: createClient(openSocket),
       socket: undefined,
       bytesAtProgress: 0,
+      heardAt: 0,
       hasFailed: false,
     };
     connections.add(connection);
@@ -118,6 +124,7 @@
         });
         connection.socket = socket;
         connection.bytesAtProgress = 0;
+        connection.heardAt = now();
         socket.on('readable', () => limitBytes(connection, socket));
         done(null, socket);
       });
@@ -134,6 +141,11 @@
     connection.bytesAtProgress = connection.socket?.bytesRead ?? 0;
   }
 
+  function recordResponse(connection: Connection): void {
+    recordProgress(connection);
+    connection.heardAt = now();
+  }
+
   function createClient(connect: buildConnector.connector): Client {
     return new Client(`http://${address}`, {
       pipelining: 1,
@@ -164,7 +176,7 @@
         },
         onResponseStart(started, status, _headers, reasonPhrase) {
           if (isOver || status < 200) return;
-          recordProgress(connection);
+          recordResponse(connection);
           const rawHeaders = (started.rawHeaders ?? []) as Buffer[];
           if (!hasStatusLine(reasonPhrase, rawHeaders)) {
             handler.onHead(status, rawHeaders);
@@ -175,7 +187,7 @@
           handler.onFailure(true, 'a head that was broken off precedes the response');
         },
         onResponseData(started, chunk) {
-          recordProgress(connection);
+          recordResponse(connection);
           if (!isOver && !handler.onData(chunk)) started.pause();
         },
         onResponseEnd() {
@@ -221,15 +233,22 @@
     });
   }
 
-  function retire(): void {
-    for (const { client } of connections) client.close().catch(ignoreClosed);
+  function retire(since: number): void {
+    for (const { client, heardAt } of connections) {
+      if (heardAt < since) destroy(client);
+      else client.close().catch(ignoreClosed);
+    }
   }
 
   function close(): void {
-    for (const { client } of connections) client.destroy().catch(ignoreClosed);
+    for (const { client } of connections) destroy(client);
   }
 }
 
+function destroy(client: Client): void {
+  client.destroy().catch(ignoreClosed);
+}
+
 function ignoreClosed(): void {
   // The connection is already closed.
 }
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -43,6 +43,15 @@
   lastActivityAt: number;
   /** Load that the endpoint reported with its latest response. */
   selfReported: (ReportedLoad & { at: number; ownRunning: number }) | undefined;
+  /** The incarnation that has announced itself at its address; undefined before. */
+  successor: Successor | undefined;
+}
+
+/** An incarnation of an endpoint that has started at the address of the one before it. */
+export interface Successor {
+  softwareVersion: string;
+  /** Responses of which a part has arrived since this time are its own. */
+  since: number;
 }
 
 /** Dependencies of the tracker. */
@@ -99,10 +108,11 @@
   function syncWithRegistry(): void {
     for (const announcement of host.registry.listDeclared()) {
       const known = endpoints.get(announcement.endpointId);
-      if (known === undefined || isReplaced(known.announcement, announcement)) {
-        if (known !== undefined) disconnect(known, announcement);
-        endpoints.set(announcement.endpointId, createEndpoint(announcement));
+      if (known !== undefined) {
+        if (!isReplaced(known.announcement, announcement)) continue;
+        endEndpoint(known, announcement);
       }
+      endpoints.set(announcement.endpointId, createEndpoint(announcement));
     }
     for (const [id, endpoint] of endpoints) {
       const isGone = host.registry.tryGet(id)?.state === 'gone';
@@ -113,10 +123,28 @@
     }
   }
 
+  /**
+   * Requests may still run at an endpoint that has been replaced, unless its address has been taken.
+   * Connections to that address which are still in use are to the next incarnation, which may have
+   * served requests before its first announcement.
+   */
+  function endEndpoint(endpoint: Endpoint, next: Announcement): void {
+    const { announcement, client } = endpoint;
+    if (announcement.address !== next.address || announcement.bornAtMs === next.bornAtMs) {
+      client.retire(Number.NEGATIVE_INFINITY);
+    } else if (announcement.pool !== next.pool) {
+      client.close();
+    } else {
+      const since = host.now() - SILENCE_MS;
+      endpoint.successor = { softwareVersion: next.softwareVersion, since };
+      client.retire(since);
+    }
+  }
+
   function createEndpoint(announcement: Announcement): Endpoint {
     return {
       announcement,
-      client: createEndpointClient(announcement.address),
+      client: createEndpointClient(announcement.address, host.now),
       health: createEndpointHealth(),
       speed: createEndpointSpeed(),
       slotLimiter: createSlotLimiter(host.now, host.random),
@@ -130,6 +158,7 @@
       unreadTokens: 0,
       lastActivityAt: host.now(),
       selfReported: undefined,
+      successor: undefined,
     };
   }
 
@@ -261,13 +290,6 @@
   }
 }
 
-/** Requests may still run at an endpoint that was replaced, unless another one has its address. */
-function disconnect({ announcement, client }: Endpoint, next: Announcement): void {
-  const isGone = announcement.address === next.address && announcement.bornAtMs !== next.bornAtMs;
-  if (isGone) client.close();
-  else client.retire();
-}
-
 function isReplaced(known: Announcement, next: Announcement): boolean {
   return (
     known.bornAtMs !== next.bornAtMs || known.address !== next.address || known.pool !== next.pool
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -288,6 +288,12 @@
     exchange?.onEnd();
   }
 
+  function streamUntilBroken(exchange: ResponseHandler | undefined, text: string): void {
+    exchange?.onHead(200, []);
+    exchange?.onData(Buffer.from(text));
+    exchange?.onFailure(true, 'ECONNRESET');
+  }
+
   it('completes a stream whose connection ends after an event', () => {
     started = startHandler('stream', 1, { isResumable: false });
     started.place();
@@ -325,6 +331,41 @@
     assert.deepEqual(versions, [undefined, 'v1']);
   });
 
+  it('resumes a stream at the version of the incarnation that announced itself after it began', () => {
+    started = startHandler('stream', 2);
+    const endpoint = started.place();
+    started.exchanges[0]?.onHead(200, []);
+    started.exchanges[0]?.onData(Buffer.from('id: 1\ndata: a\n\n'));
+    endpoint.successor = { softwareVersion: 'v2', since: ARRIVED_AT };
+    started.exchanges[0]?.onFailure(true, 'ECONNRESET');
+    assert.equal(started.submitted[1]?.softwareVersion, 'v2');
+  });
+
+  it('continues no stream at an incarnation that announces another version before its first event', () => {
+    started = startHandler('stream', 3);
+    started.place();
+    streamUntilBroken(started.exchanges[0], 'id: 1\ndata: a\n\n');
+    const endpoint = started.place();
+    started.exchanges[1]?.onHead(200, []);
+    endpoint.successor = { softwareVersion: 'v2', since: ARRIVED_AT };
+    started.exchanges[1]?.onData(Buffer.from('id: 2\ndata: b\n\n'));
+    assert.equal(started.submitted[2]?.softwareVersion, 'v1');
+    started.place();
+    streamUntilBroken(started.exchanges[2], 'id: 2\ndata: c\n\n');
+    const forwarded = Buffer.concat(started.forwarded).toString();
+    assert.equal(forwarded, 'id: 1\ndata: a\n\nid: 2\ndata: c\n\n');
+  });
+
+  it('resumes a stream at its own version if it ended before the next incarnation began', () => {
+    started = startHandler('stream', 2);
+    const endpoint = started.place();
+    started.exchanges[0]?.onHead(200, []);
+    started.exchanges[0]?.onData(Buffer.from('id: 1\ndata: a\n\n'));
+    endpoint.successor = { softwareVersion: 'v2', since: ARRIVED_AT + 1 };
+    started.exchanges[0]?.onFailure(true, 'UND_ERR_DESTROYED');
+    assert.equal(started.submitted[1]?.softwareVersion, 'v1');
+  });
+
   it('does not pass off a stream as complete that ends with its connection before any event', () => {
     started = startHandler('stream', 1, { isResumable: false });
     started.place();
--- a/test/unit/gateway/endpointTracker.test.ts
+++ b/test/unit/gateway/endpointTracker.test.ts
@@ -1,115 +1,186 @@
-/** Which connections a tracker keeps when an endpoint is announced anew. */
+/** Requests that run at an endpoint when another incarnation of it announces itself. */
 
 import assert from 'node:assert/strict';
-import { createServer, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
-import { createEndpointTracker } from '../../../src/gateway/endpointTracker.js';
+import { VirtualClock } from '../../../src/common/clock.js';
+import type { ResponseHandler } from '../../../src/gateway/endpointClient.js';
+import {
+  createEndpointTracker,
+  type Endpoint,
+  type EndpointTracker,
+} from '../../../src/gateway/endpointTracker.js';
 import type { Announcement } from '../../../src/generated/control.js';
 import { createEndpointRegistry } from '../../../src/registry/registry.js';
+import { waitFor } from '../../fixtures/deployment.js';
 
-const BODY = 'all of the response';
-const logger = { event() {} };
+const POOL = 'engines';
+const OTHER_POOL = 'desks';
+const HEAD = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n';
+/** Longer than a connection to a running incarnation is silent. */
+const SILENT_MS = 1_000;
+const START_MS = 10_000;
 
-/** Starts an endpoint that keeps each response open, and a tracker that sends it one request. */
-async function startExchange() {
-  const open: ServerResponse[] = [];
-  let recordArrival: () => void;
-  const arrived = new Promise<void>((resolve) => {
-    recordArrival = resolve;
-  });
-  const server = createServer((_request, response) => {
-    response.write(BODY.slice(0, 3));
-    open.push(response);
-    recordArrival();
+interface Outcome {
+  body: string;
+  end: string | undefined;
+}
+
+/** A server whose connections the test writes to. */
+interface TestServer {
+  address: string;
+  sockets: Socket[];
+  close(): void;
+}
+
+async function startServer(): Promise<TestServer> {
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    socket.on('error', () => {});
+    socket.resume();
+    sockets.push(socket);
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    sockets,
+    close() {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    },
+  };
+}
+
+function startTracker(address: string) {
+  const clock = new VirtualClock(START_MS);
+  const logger = { event() {} };
   const registry = createEndpointRegistry(logger);
-  registry.declarePools(['engines', 'desks']);
+  registry.declarePools([POOL, OTHER_POOL]);
   const tracker = createEndpointTracker({
     logger,
-    now: () => performance.now(),
-    random: () => 0,
+    now: () => clock.now(),
+    random: Math.random,
     registry,
     onLeaving() {},
   });
   let sequence = 0;
-
-  function announce(changes: Partial<Announcement>): void {
+  function announce(
+    bornAtMs: number,
+    softwareVersion: string,
+    changes: Partial<Announcement> = {},
+  ): void {
     sequence += 1;
     registry.merge({
-      endpointId: 'engine-a',
-      bornAtMs: 1,
+      endpointId: 'a',
+      bornAtMs,
       sequence,
       state: 'ready',
-      pool: 'engines',
-      address: `127.0.0.1:${port}`,
-      failureDomain: 'zone-a',
+      pool: POOL,
+      address,
+      failureDomain: '',
       slots: 4,
       warmingForMs: 0,
-      softwareVersion: 'v1',
+      softwareVersion,
       ...changes,
     });
     tracker.syncWithRegistry();
   }
+  announce(1, 'v1');
+  return { clock, tracker, announce };
+}
 
-  announce({});
-  const endpoint = tracker.listUsable('engines', false)[0] ?? assert.fail('not usable');
-  endpoint.running = 1;
-  const ended = new Promise<string>((resolve) => {
-    let body = '';
-    endpoint.client.send(
-      { method: 'GET', target: '/', headers: ['Host', 'a.example'], body: undefined },
-      {
-        onHead() {},
-        onData(chunk) {
-          body += chunk.toString();
-          return true;
-        },
-        onEnd: () => resolve(body),
-        onFailure: (_wasSent, reason) => resolve(reason),
-        onUnsendable: resolve,
-      },
-    );
-  });
-  await arrived;
-  return {
-    announce,
-    ended,
-    finish: () => open[0]?.end(BODY.slice(3)),
-    close() {
-      tracker.close();
-      server.closeAllConnections();
-      server.close();
+function getEndpoint(tracker: EndpointTracker): Endpoint {
+  const [endpoint] = tracker.listUsable(POOL, true);
+  assert.ok(endpoint);
+  return endpoint;
+}
+
+function send({ client }: Endpoint): Outcome {
+  const outcome: Outcome = { body: '', end: undefined };
+  const handler: ResponseHandler = {
+    onHead() {},
+    onData(chunk) {
+      outcome.body += String(chunk);
+      return true;
+    },
+    onEnd() {
+      outcome.end = 'complete';
+    },
+    onFailure(_wasSent, reason) {
+      outcome.end = reason;
+    },
+    onUnsendable(reason) {
+      outcome.end = reason;
     },
   };
+  const headers = ['Host', 'a.example'];
+  client.send({ method: 'GET', target: '/', headers, body: undefined }, handler);
+  return outcome;
 }
 
-describe('requests that run at an endpoint', () => {
-  let exchange: Awaited<ReturnType<typeof startExchange>>;
+describe('requests at an endpoint that announces another incarnation', () => {
+  let server: TestServer | undefined;
 
-  afterEach(() => exchange.close());
+  afterEach(() => server?.close());
+
+  // Streams of the new incarnation were cut and resumed at the version of the one before.
+  it('go on where it had served them before its first announcement', async () => {
+    server = await startServer();
+    const { sockets } = server;
+    const { tracker, announce } = startTracker(server.address);
+    const before = getEndpoint(tracker);
+    const outcome = send(before);
+    await waitFor('a connection', () => sockets.length === 1);
+    sockets[0]?.write(`${HEAD}ab`);
+    await waitFor('a part of the response', () => outcome.body === 'ab');
+    announce(2, 'v2');
+    assert.notEqual(getEndpoint(tracker), before);
+    sockets[0]?.write('cd');
+    await waitFor('the end of the response', () => outcome.end !== undefined);
+    assert.deepEqual(outcome, { body: 'abcd', end: 'complete' });
+    assert.equal(before.successor?.softwareVersion, 'v2');
+    await waitFor('the end of the connection', () => sockets[0]?.readyState !== 'open');
+  });
 
-  it('are not cut when its successor starts at another address', async () => {
-    exchange = await startExchange();
-    exchange.announce({ bornAtMs: 2, address: '127.0.0.1:1' });
-    exchange.finish();
-    assert.equal(await exchange.ended, BODY);
+  it('are given up if nothing has arrived from it for long', async () => {
+    server = await startServer();
+    const { sockets } = server;
+    const { clock, tracker, announce } = startTracker(server.address);
+    const outcome = send(getEndpoint(tracker));
+    await waitFor('a connection', () => sockets.length === 1);
+    sockets[0]?.write(`${HEAD}ab`);
+    await waitFor('a part of the response', () => outcome.body === 'ab');
+    clock.advance(SILENT_MS);
+    announce(2, 'v2');
+    await waitFor('the end of the response', () => outcome.end !== undefined);
+    assert.notEqual(outcome.end, 'complete');
   });
 
-  it('are not cut when it moves to another pool', async () => {
-    exchange = await startExchange();
-    exchange.announce({ pool: 'desks' });
-    exchange.finish();
-    assert.equal(await exchange.ended, BODY);
+  it('go on when the next incarnation starts at another address', async () => {
+    await expectComplete((announce) => announce(2, 'v1', { address: '127.0.0.1:1' }));
   });
 
-  it('end at once when its successor has taken its address', async () => {
-    exchange = await startExchange();
-    exchange.announce({ bornAtMs: 2 });
-    assert.notEqual(await exchange.ended, BODY);
+  it('go on when it moves to another pool', async () => {
+    await expectComplete((announce) => announce(1, 'v1', { pool: OTHER_POOL }));
   });
+
+  type Announce = ReturnType<typeof startTracker>['announce'];
+
+  async function expectComplete(announceNext: (announce: Announce) => void): Promise<void> {
+    server = await startServer();
+    const { sockets } = server;
+    const { clock, tracker, announce } = startTracker(server.address);
+    const outcome = send(getEndpoint(tracker));
+    await waitFor('a connection', () => sockets.length === 1);
+    sockets[0]?.write(`${HEAD}ab`);
+    await waitFor('a part of the response', () => outcome.body === 'ab');
+    clock.advance(SILENT_MS);
+    announceNext(announce);
+    sockets[0]?.write('cd');
+    await waitFor('the end of the response', () => outcome.end !== undefined);
+    assert.deepEqual(outcome, { body: 'abcd', end: 'complete' });
+  }
 });
