--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -2,175 +2,18 @@
 
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
-import { VirtualClock } from '../../../src/common/clock.js';
 import { delay } from '../../../src/common/delay.js';
-import { startCallHandler, type CallHandler } from '../../../src/gateway/callHandler.js';
-import type { CallSummary } from '../../../src/gateway/callProgress.js';
 import type { ResponseHandler } from '../../../src/gateway/endpointClient.js';
-import type { Endpoint } from '../../../src/gateway/endpointTracker.js';
-import type { PlacementRequest } from '../../../src/gateway/scheduler.js';
-import type { WatchedAttempt } from '../../../src/gateway/stallDetector.js';
-import type { ResponseHead } from '../../../src/gateway/types.js';
-import type { RouteKind } from '../../../src/routing/types.js';
-import { createTestCall, createTestRoute } from '../../fixtures/gatewayCall.js';
-import { createTestEndpoint } from '../../fixtures/gatewayEndpoint.js';
-import { createTestTracker } from '../../fixtures/gatewayTracker.js';
-
-const ARRIVED_AT = 1_000;
-const WAIT_MS = 10_000;
+import {
+  ARRIVED_AT,
+  responseHead,
+  startHandler,
+  WAIT_MS,
+} from '../../fixtures/gatewayCallHandler.js';
+
 const DRIBBLE_WAIT_MS = 200;
 const DRIBBLE_INTERVAL_MS = 10;
 
-const responseHead: ResponseHead = {
-  status: 200,
-  callId: 'call-1',
-  isSigned: true,
-  isNotRun: false,
-  load: undefined,
-  maxRequestRate: undefined,
-  isLeaving: false,
-  unwantedForMs: undefined,
-  headers: [],
-};
-
-/** Starts a handler whose dependencies are all controlled by the test. */
-function startHandler(
-  kind: RouteKind,
-  maxAttempts: number,
-  {
-    canPlace = true,
-    waitMs = WAIT_MS,
-    heads = [responseHead],
-    isResumable = kind === 'stream',
-    softwareVersion = undefined as string | undefined,
-    mayBegin = true,
-  } = {},
-) {
-  const clock = new VirtualClock(ARRIVED_AT);
-  const submitted: (Pick<
-    PlacementRequest,
-    'arrivedAt' | 'maxQueueMs' | 'wasInterrupted' | 'softwareVersion'
-  > & { at: number })[] = [];
-  const statuses: number[] = [];
-  const forwarded: Buffer[] = [];
-  const summaries: CallSummary[] = [];
-  const exchanges: ResponseHandler[] = [];
-  const ends: ('complete' | 'cut')[] = [];
-  let hasStarted = false;
-  let aborted = 0;
-  let headCount = 0;
-  let placement: PlacementRequest | undefined;
-  let watched: WatchedAttempt | undefined;
-  const handler: CallHandler = startCallHandler(
-    {
-      clock,
-      logger: { event() {} },
-      dialect: {
-        tryParseRequest: () => undefined,
-        toEndpointHeaders: () => [],
-        parseResponse() {
-          headCount += 1;
-          return heads[headCount - 1] ?? responseHead;
-        },
-        decodeTable: () => assert.fail('no table is decoded'),
-      },
-      scheduler: {
-        submit(request) {
-          placement = request;
-          submitted.push({ ...request, at: clock.now() });
-        },
-        canPlace: () => canPlace,
-        withdraw() {},
-        release() {},
-        reevaluate() {},
-        waitingCount: 0,
-        close() {},
-      },
-      endpoints: createTestTracker(),
-      retryBudget: { recordRequest() {}, tryConsume: () => true },
-      stallDetector: {
-        add(attempt) {
-          watched = attempt;
-        },
-        remove() {},
-        check() {},
-        close() {},
-      },
-      crashDetector: { recordInterruption() {} },
-      crashSuspects: {
-        isSuspect: () => false,
-        recordBegun() {},
-        recordCrash() {},
-        receive() {},
-      },
-      drain: { mayBegin: () => mayBegin },
-      recordStreamOrigin() {},
-      onEnd: (summary) => summaries.push(summary),
-    },
-    {
-      ...createTestCall(
-        {},
-        createTestRoute({ kind, maxAttempts, timeoutMs: waitMs, isResumable }),
-        ARRIVED_AT,
-      ),
-      softwareVersion,
-    },
-    {
-      get hasStarted() {
-        return hasStarted;
-      },
-      start() {
-        hasStarted = true;
-      },
-      write(bytes) {
-        forwarded.push(bytes);
-        return true;
-      },
-      end: () => void ends.push('complete'),
-      writeComplete: ({ status }) => statuses.push(status),
-      writeLocalReply: (reply) => statuses.push(reply.status),
-      destroy: () => void ends.push('cut'),
-    },
-  );
-
-  function recordAbort(): void {
-    aborted += 1;
-  }
-
-  return {
-    clock,
-    submitted,
-    statuses,
-    summaries,
-    forwarded,
-    exchanges,
-    ends,
-    cancel: handler.cancel,
-    stop: handler.stop,
-    getAborted: () => aborted,
-    place() {
-      const endpoint = createEndpoint(exchanges, recordAbort);
-      placement?.onPlaced(endpoint);
-      return endpoint;
-    },
-    stall: () => watched?.onStalled('response did not start in time'),
-  };
-}
-
-function createEndpoint(exchanges: ResponseHandler[], abort: () => void): Endpoint {
-  const endpoint = createTestEndpoint({
-    id: `endpoint-${exchanges.length}`,
-    pool: 'pool',
-    slots: 1,
-    send(_request, handler) {
-      exchanges.push(handler);
-      return { resume() {}, abort };
-    },
-  });
-  endpoint.running = 1;
-  return endpoint;
-}
-
 describe('a call handler', () => {
   let started: ReturnType<typeof startHandler> | undefined;
 
