Let the election timer run on when a vote is denied in a later term

Changes were refused for more than 3 s after the last full disk had room.

Cause: a request for votes in a later term began the election timer anew, also where the vote was denied. A keeper that led until its disk was full has the longest log, denies the others its vote and can itself win at once; while two others split the votes of term after term, it never got to ask.

Change: a later term leaves the timer as it is; a vote given still resets it.

The test failed before and passes.

--- a/src/keeper/election.ts
+++ b/src/keeper/election.ts
@@ -56,7 +56,7 @@
       respond(from, core.term, request.preVote, false);
       return;
     }
-    if (!request.preVote && term > core.term) core.becomeFollower(term, undefined);
+    if (!request.preVote && term > core.term) core.adoptTerm(term);
     const isNewer = request.preVote ? term > core.term : term === core.term;
     const canVote = request.preVote || core.votedFor === '' || core.votedFor === from.storeId;
     const granted = isNewer && canVote && isUpToDate(request);
@@ -89,7 +89,7 @@
 
   function handleVoteResponse(from: Replica, term: number, response: VoteResponse): void {
     if (!response.granted) {
-      if (term > core.term) core.becomeFollower(term, undefined);
+      if (term > core.term) core.adoptTerm(term);
       return;
     }
     const expectedRole = response.preVote ? 'preCandidate' : 'candidate';
--- a/src/keeper/raftCore.ts
+++ b/src/keeper/raftCore.ts
@@ -69,6 +69,11 @@
   send(to: Replica, term: number, body: PeerMessage['body']): void;
   append(entries: readonly LogEntry[]): void;
   becomeFollower(term: number, leader: Replica | undefined): void;
+  /**
+   * Follows no one in a later term. The election timer runs on: the replica that asks for votes in
+   * that term may be unable to win, and this one the only one that can.
+   */
+  adoptTerm(term: number): void;
   resetElectionTimer(): void;
   /** Sets the election timer to the next round of pre-votes. */
   schedulePreVoteRetry(): void;
@@ -107,6 +112,7 @@
     send,
     append,
     becomeFollower,
+    adoptTerm,
     resetElectionTimer,
     schedulePreVoteRetry,
     isVoter: (storeId) => log.membership.voters.some((voter) => voter.storeId === storeId),
@@ -128,16 +134,20 @@
   }
 
   function becomeFollower(term: number, leader: Replica | undefined): void {
-    if (term > core.term) {
-      core.term = term;
-      core.votedFor = '';
-      core.hardStateChanged = true;
-    }
+    if (term > core.term) adoptTerm(term);
     core.role = 'follower';
     core.leader = leader;
     resetElectionTimer();
   }
 
+  function adoptTerm(term: number): void {
+    core.term = term;
+    core.votedFor = '';
+    core.hardStateChanged = true;
+    core.role = 'follower';
+    core.leader = undefined;
+  }
+
   function resetElectionTimer(): void {
     core.electionAt = core.now + ELECTION_TIMEOUT_MS * (1 + host.random());
   }
--- a/test/unit/keeper/raft.test.ts
+++ b/test/unit/keeper/raft.test.ts
@@ -137,6 +137,19 @@
     assert.ok(body?.$case === 'voteRequest' && body.value.preVote);
   });
 
+  it('are requested by the only replica that can win, however often others ask in later terms', () => {
+    const raft = createNode(threeVoters, [createNoop(2, 1)]);
+    for (const term of [2, 3, 4]) {
+      const value = { preVote: false, lastIndex: 1, lastTerm: 1 };
+      const message = createMessage(b, term, { $case: 'voteRequest', value });
+      raft.step(message, ELECTION_TIMEOUT_MS);
+    }
+    assert.equal(raft.term, 4);
+    assert.equal(raft.role, 'follower');
+    raft.tick(ELECTION_TIMEOUT_MS);
+    assert.equal(raft.role, 'preCandidate');
+  });
+
   it('requested from an earlier store of this replica are ignored', () => {
     const raft = createNode();
     const value = { preVote: false, lastIndex: 99, lastTerm: 99 };
