Ask again soon for votes that were split

Changes were refused for more than 3 s after the last full disk had room.

Cause: candidates of the same term that take each other's votes each waited for another election timeout of 0.6 to 1.2 s. Three splits in a row, likely with an even number of voters and with slow writes, exceed 3 s.

Change: a candidate that learns of a rival in its term asks again after 150 to 300 ms, and after 150 ms more for each voter before it in the membership.

The test failed before and passes.

--- a/src/keeper/election.ts
+++ b/src/keeper/election.ts
@@ -57,6 +57,7 @@
       return;
     }
     if (!request.preVote && term > core.term) core.adoptTerm(term);
+    if (!request.preVote) noteRival(term);
     const isNewer = request.preVote ? term > core.term : term === core.term;
     const canVote = request.preVote || core.votedFor === '' || core.votedFor === from.storeId;
     const granted = isNewer && canVote && isUpToDate(request);
@@ -68,6 +69,11 @@
     respond(from, granted ? term : core.term, request.preVote, granted);
   }
 
+  /** Votes that are split are requested again soon, rather than after another election timeout. */
+  function noteRival(term: number): void {
+    if (core.role === 'candidate' && term === core.term) core.scheduleVoteRetry();
+  }
+
   /**
    * Whether this replica leads or was contacted by a leader within the election timeout. It then
    * denies its vote to any replica but that leader; the leader lease relies on this.
@@ -90,6 +96,7 @@
   function handleVoteResponse(from: Replica, term: number, response: VoteResponse): void {
     if (!response.granted) {
       if (term > core.term) core.adoptTerm(term);
+      else if (!response.preVote) noteRival(term);
       return;
     }
     const expectedRole = response.preVote ? 'preCandidate' : 'candidate';
--- a/src/keeper/raftCore.ts
+++ b/src/keeper/raftCore.ts
@@ -77,6 +77,8 @@
   resetElectionTimer(): void;
   /** Sets the election timer to the next round of pre-votes. */
   schedulePreVoteRetry(): void;
+  /** Sets the election timer to the next attempt after a split vote, for one voter after another. */
+  scheduleVoteRetry(): void;
   isVoter(storeId: string): boolean;
 }
 
@@ -115,6 +117,7 @@
     adoptTerm,
     resetElectionTimer,
     schedulePreVoteRetry,
+    scheduleVoteRetry,
     isVoter: (storeId) => log.membership.voters.some((voter) => voter.storeId === storeId),
   };
   return core;
@@ -155,4 +158,10 @@
   function schedulePreVoteRetry(): void {
     core.electionAt = core.now + PRE_VOTE_RETRY_MS * (1 + host.random());
   }
+
+  function scheduleVoteRetry(): void {
+    const rank = log.membership.voters.findIndex((voter) => voter.storeId === self.storeId);
+    const retryAt = core.now + PRE_VOTE_RETRY_MS * (1 + rank + host.random());
+    core.electionAt = Math.min(core.electionAt, retryAt);
+  }
 }
--- a/test/unit/keeper/raft.test.ts
+++ b/test/unit/keeper/raft.test.ts
@@ -150,6 +150,16 @@
     assert.equal(raft.role, 'preCandidate');
   });
 
+  it('are soon requested again by a candidate whose rival got as many', () => {
+    const raft = createNode();
+    raft.tick(LONG_AFTER_START_MS);
+    grantVote(raft, b, raft.term + 1, true, LONG_AFTER_START_MS);
+    assert.equal(raft.role, 'candidate');
+    assert.ok(!requestVote(raft, b, raft.term, false, LONG_AFTER_START_MS));
+    raft.tick(LONG_AFTER_START_MS + ELECTION_TIMEOUT_MS / 2);
+    assert.equal(raft.role, 'preCandidate');
+  });
+
   it('requested from an earlier store of this replica are ignored', () => {
     const raft = createNode();
     const value = { preVote: false, lastIndex: 99, lastTerm: 99 };
