--- a/src/keeper/leadership.ts
+++ b/src/keeper/leadership.ts
@@ -97,7 +97,7 @@
       sendAppend(peer);
       return;
     }
-    peer.snapshotSentAtMs = undefined;
+    if (response.matchIndex >= (peer.snapshotSent?.index ?? 0)) peer.snapshotSent = undefined;
     peer.matchIndex = Math.max(peer.matchIndex, response.matchIndex);
     peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1);
     advanceCommit();
@@ -125,15 +125,31 @@
       if (replica.storeId === self.storeId) continue;
       const peer = progress.get(replica.storeId) ?? createProgress(replica, log.lastIndex + 1);
       progress.set(replica.storeId, peer);
-      sendAppend(peer);
+      if (isWaitingForSnapshot(peer)) sendHeartbeat(peer);
+      else sendAppend(peer);
     }
   }
 
+  /** Whether only a snapshot helps the replica, and one was sent too shortly before to repeat it. */
+  function isWaitingForSnapshot(peer: Progress): boolean {
+    if (log.tryGetTerm(peer.nextIndex - 1) !== undefined) return false;
+    const { atMs } = peer.snapshotSent ?? { atMs: Number.NEGATIVE_INFINITY };
+    return core.now - atMs < SNAPSHOT_RESEND_INTERVAL_MS;
+  }
+
+  /** Sends a message without entries that refers to the start of the log, which every log has. */
+  function sendHeartbeat(peer: Progress): void {
+    const { commitIndex, now } = core;
+    const start = { previousIndex: 0, previousTerm: 0, entries: [] };
+    const value = { ...start, commitIndex, sentAtMs: now };
+    core.send(peer.replica, core.term, { $case: 'appendRequest', value });
+  }
+
   function sendAppend(peer: Progress): void {
     const previousIndex = peer.nextIndex - 1;
     const previousTerm = log.tryGetTerm(previousIndex);
     if (previousTerm === undefined) {
-      sendSnapshot(peer);
+      if (!isWaitingForSnapshot(peer)) sendSnapshot(peer);
       return;
     }
     const entries = limitBytes(log.getEntries(peer.nextIndex, MAX_BATCH_ENTRIES));
@@ -144,10 +160,9 @@
   }
 
   function sendSnapshot(peer: Progress): void {
-    const sentAt = peer.snapshotSentAtMs ?? Number.NEGATIVE_INFINITY;
     const snapshot = host.readSnapshot();
-    if (core.now - sentAt < SNAPSHOT_RESEND_INTERVAL_MS || snapshot === undefined) return;
-    peer.snapshotSentAtMs = core.now;
+    if (snapshot === undefined) return;
+    peer.snapshotSent = { index: snapshot.header?.index ?? 0, atMs: core.now };
     const value = { snapshot, sentAtMs: core.now };
     core.send(peer.replica, core.term, { $case: 'snapshotInstall', value });
   }
--- a/src/keeper/progress.ts
+++ b/src/keeper/progress.ts
@@ -11,8 +11,8 @@
   matchIndex: number;
   /** Time at which the leader sent the latest message that the replica has responded to. */
   contactAtMs: number;
-  /** Time at which the last snapshot was sent; undefined while the replica is sent log entries. */
-  snapshotSentAtMs: number | undefined;
+  /** The last snapshot sent; undefined once the replica is known to have it. */
+  snapshotSent: { index: number; atMs: number } | undefined;
 }
 
 /** Creates the progress of a replica that has not responded yet. */
@@ -22,7 +22,7 @@
     nextIndex,
     matchIndex: 0,
     contactAtMs: Number.NEGATIVE_INFINITY,
-    snapshotSentAtMs: undefined,
+    snapshotSent: undefined,
   };
 }
 
--- a/test/unit/keeper/raft.test.ts
+++ b/test/unit/keeper/raft.test.ts
@@ -218,6 +218,26 @@
     assert.ok(!raft.hasLeaderLease(LONG_AFTER_START_MS + ELECTION_TIMEOUT_MS * 0.95));
   });
 
+  it('keeps contact with a replica while a snapshot or its answer is lost', () => {
+    const header = { index: 5, term: 1, membership: threeVoters };
+    const initial = { hardState: { term: 1, votedFor: '' }, header, entries: [] };
+    const readSnapshot = () => ({ header, state: Buffer.alloc(0) });
+    const raft = createRaft({ random: () => 0, readSnapshot }, 'test', a, initial, 0);
+    const electedAt = electLeader(raft);
+    const refusal = { accepted: false, matchIndex: 2, sentAtMs: electedAt };
+    const message = createMessage(c, raft.term, { $case: 'appendResponse', value: refusal });
+    raft.step(message, electedAt);
+    assert.equal(takeMessages(raft).at(-1)?.message.body?.$case, 'snapshotInstall');
+    for (let now = electedAt + 200; now < electedAt + ELECTION_TIMEOUT_MS; now += 200) {
+      raft.tick(now);
+      const bodies = takeMessages(raft).map(({ message: { body } }) => body);
+      assert.deepEqual(
+        bodies.map((body) => body?.$case),
+        ['appendRequest', 'appendRequest'],
+      );
+    }
+  });
+
   it('steps down without contact with a majority', () => {
     const raft = createNode();
     const now = electLeader(raft);
