Never sync the log: a slow disk made a stopping process kill itself

What callers and operators saw: a process whose log goes to a file on a slow disk ended by SIGKILL, its own, in place of status 0 when it was told to stop. Nothing that it served was lost, as this is its last act.

Cause: a flush with a callback syncs the file. A sync that takes over a second counted as a reader that takes nothing, and a process with a thread blocked in such a write kills itself, since it cannot join the thread.

--- a/src/common/logSink.ts
+++ b/src/common/logSink.ts
@@ -45,14 +45,12 @@
   stream.on('drop', () => {
     dropped += 1;
   });
-  // If standard output is closed, there is nowhere to report the error.
-  stream.on('error', () => {});
   /** When the oldest flush that is not complete began. */
   let flushingSince: number | undefined;
-  const timer = setInterval(() => {
-    // Flushes that wait for a reader that takes nothing would add up.
-    if (flushingSince === undefined) startFlush();
-  }, FLUSH_INTERVAL_MS);
+  stream.on('drain', endFlush);
+  // If standard output is closed, there is nowhere to report the error.
+  stream.on('error', endFlush);
+  const timer = setInterval(startFlush, FLUSH_INTERVAL_MS);
   timer.unref();
 
   return {
@@ -65,7 +63,9 @@
     flush: () =>
       new Promise((resolve) => {
         setTimeout(resolve, FLUSH_TIMEOUT_MS);
-        startFlush(resolve);
+        stream.once('drain', resolve);
+        stream.once('error', resolve);
+        startFlush();
       }),
     flushSync() {
       attemptsLeft = FINAL_WRITE_ATTEMPTS;
@@ -81,12 +81,14 @@
     },
   };
 
-  function startFlush(onFlushed?: () => void): void {
+  function startFlush(): void {
     flushingSince ??= performance.now();
-    stream.flush(() => {
-      flushingSince = undefined;
-      onFlushed?.();
-    });
+    // With a callback it would sync the file, which takes seconds on a disk that is busy.
+    stream.flush();
+  }
+
+  function endFlush(): void {
+    flushingSince = undefined;
   }
 }
 
--- a/test/integration/logReaders.test.ts
+++ b/test/integration/logReaders.test.ts
@@ -12,6 +12,7 @@
 const kinds: readonly DaemonKind[] = ['entry', 'agent', 'keeper', 'gateway'];
 const fixedOutputs: readonly OutputKind[] = ['file', 'full', 'closed'];
 const moments = ['before the start', 'during the start', 'idle', 'busy', 'stopping'] as const;
+const slowSyncArgs = ['--import', './dist/run/test/fixtures/slowSyncPreload.mjs'];
 const START_MS = 250;
 const START_LIMIT_MS = 10_000;
 /** Several intervals at which lines are written. */
@@ -105,6 +106,19 @@
   }
 }
 
+async function expectToStopWithSlowSync(kind: DaemonKind): Promise<void> {
+  const daemon = await createDaemon(kind);
+  const running = startWithOutputs([...slowSyncArgs, ...daemon.args], 'file');
+  try {
+    await waitForStart(daemon);
+    await delay(OBSERVED_MS);
+    await expectOrderlyEnd(running);
+  } finally {
+    await running.kill();
+    daemon.removeFolder();
+  }
+}
+
 describe('a daemon goes on serving and stops in order', () => {
   for (const kind of kinds) {
     for (const output of ['pipe', 'socket'] as const) {
@@ -121,4 +135,8 @@
   it('while nobody reads its outputs for seconds', async () => {
     await Promise.all(kinds.map((kind) => expectToOutlive(kind, 'stalled', 'stopping')));
   });
+
+  it('while the disk of its log file takes seconds for a sync', async () => {
+    await Promise.all(kinds.map(expectToStopWithSlowSync));
+  });
 });
