Close the responses that wait behind another one with their connection

A caller that left with several requests on one connection had only the first of them cancelled. The others ran to their end at their endpoints. A gateway that was told to stop later took all of its grace, 7.9 s of the 8 s after which the platform kills it, although nothing was left to serve. By reading, it also kept each of those requests and its answer in memory for as long as it lived.

Cause: requests are counted and cancelled by the `close` event of their response, which Node.js emits only for the response that a connection is sending when it ends, not for those that are queued behind it.

Evidence: a server of Node.js that got three requests at once and lost the caller emitted `close` for the first response only.

Every HTTP server now closes the queued responses when the connection ends.

--- a/src/common/idleConnections.ts
+++ b/src/common/idleConnections.ts
@@ -1,4 +1,7 @@
-/** Closes the idle connections of an HTTP server, and no connection that still carries a response. */
+/**
+ * Closes the idle connections of an HTTP server, and no connection that still carries a response;
+ * closes the responses of a connection that has ended.
+ */
 
 import type { Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
@@ -25,12 +28,12 @@
 export function keepUnsentResponses(server: Server): void {
   const connections = new Map<Socket, Connection>();
   server.on('connection', (socket) => {
-    connections.set(socket, {
-      openResponses: new Set(),
-      bytesAtResponse: undefined,
-      hasStallTimeout: false,
+    const openResponses = new Set<ServerResponse>();
+    connections.set(socket, { openResponses, bytesAtResponse: undefined, hasStallTimeout: false });
+    socket.once('close', () => {
+      connections.delete(socket);
+      closeQueued(openResponses);
     });
-    socket.once('close', () => connections.delete(socket));
   });
   server.prependListener('request', ({ socket }, response) => {
     const connection = connections.get(socket);
@@ -50,6 +53,15 @@
   };
 }
 
+/** Node.js closes the response that a connection sends when it ends, and none that wait behind it. */
+function closeQueued(responses: ReadonlySet<ServerResponse>): void {
+  for (const response of responses) {
+    if (response.socket !== null || response.writableFinished) continue;
+    response.destroy();
+    response.emit('close');
+  }
+}
+
 /**
  * Whether a response has ended, none is open and no part of the next request has arrived. A caller
  * that has just connected is about to send its first request.
--- a/test/faults/pipelinedCalls.test.ts
+++ b/test/faults/pipelinedCalls.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import { connect, type Socket } from 'node:net';
 import { after, beforeEach, describe, it } from 'node:test';
-import { delay } from '../fixtures/deployment.js';
+import { delay, waitFor } from '../fixtures/deployment.js';
 import {
   addRoutes,
   createGatewayDeployment,
@@ -20,6 +20,10 @@
 const PAUSE_MS = 3_500;
 const SMALL_CALL_COUNT = 4;
 const STOPPING_MS = 200;
+/** Time that the endpoint takes for a slow answer. */
+const SLOW_ANSWER_MS = 1_500;
+/** Longer than a gateway without requests takes to stop, and shorter than its grace. */
+const IDLE_STOP_LIMIT_MS = 5_000;
 const BODY_PART_COUNT = 10;
 const BODY_PART_INTERVAL_MS = 20;
 
@@ -32,9 +36,10 @@
     deployment = await createGatewayDeployment([
       { ...plan, id: 'desk-a', pool: 'desk' },
       { ...plan, id: 'large-a', pool: 'large', answerBytes: ANSWER_BYTES },
+      { ...plan, id: 'slow-a', pool: 'slow', workMs: SLOW_ANSWER_MS },
     ]);
-    const route = { name: 'large', service: 'large', fields: {} };
-    assert.equal(await deployment.declare(addRoutes(createTableBody(1), [route])), 200);
+    const routes = ['large', 'slow'].map((name) => ({ name, service: name, fields: {} }));
+    assert.equal(await deployment.declare(addRoutes(createTableBody(1), routes)), 200);
     await deployment.waitServing();
   });
 
@@ -138,4 +143,18 @@
     assert.equal(failure, undefined);
     holding.destroy();
   });
+
+  it('does not wait for requests whose caller has left', async () => {
+    const ids = Array.from({ length: SMALL_CALL_COUNT }, (_unused, index) => `left-${index}`);
+    const socket = open();
+    socket.write(formatCalls('/slow/1', ids));
+    await waitFor('the requests to run', () => countArrivals(ids) === ids.length);
+    socket.destroy();
+    await delay(STOPPING_MS);
+    const signalledAt = performance.now();
+    deployment.getProcess('gateway-0').signal('SIGTERM');
+    assert.equal(await deployment.getProcess('gateway-0').exited, 0);
+    const stopMs = performance.now() - signalledAt;
+    assert.ok(stopMs < IDLE_STOP_LIMIT_MS, `${Math.round(stopMs)} ms`);
+  });
 });
