Run no request that a closing server cannot answer any more

An entry or a keeper that was told to stop ran requests that a caller sent on a connection after the head of an answer had announced its end. The connection ended with that answer, so calls that may not be repeated could run and stay unanswered.

Cause: the announcement was decided when a request was read, but nothing was refused behind it; only gateways did that.

A closing server now passes on no request behind such a head. Its caller has been told that the connection ends, and the request has not run.

Evidence and measured: a test with a stream and a request behind it.

--- a/src/common/httpServer.ts
+++ b/src/common/httpServer.ts
@@ -47,12 +47,16 @@
 
 /**
  * Starts `app` on an address. An address that is taken is tried again for a while; then
- * `unavailable` is raised.
+ * `unavailable` is raised. `listener` receives the requests in place of `app`.
  */
-export async function listenOn(app: Polka, target: ListenTarget): Promise<Server> {
+export async function listenOn(
+  app: Polka,
+  target: ListenTarget,
+  listener = app.handler as RequestListener,
+): Promise<Server> {
   const { host, port } = splitAddress(target.address);
   const server = app.server ?? createServer();
-  server.on('request', app.handler as RequestListener);
+  server.on('request', listener);
   await retryListening(target, () => tryListen(server, host, port));
   // Errors while it listens concern single connections that could not be accepted.
   server.on('error', () => {});
@@ -92,7 +96,8 @@
   target: ListenTarget,
   keepAliveMs = DEFAULT_KEEP_ALIVE_MS,
 ): Promise<RunningServer> {
-  const server = await listenOn(app, target);
+  const unanswerable = new WeakSet<IncomingMessage>();
+  const server = await listenOn(app, target, handle);
   const sockets = new Set<Socket>();
   /** The newest request of each connection whose response has not ended. */
   const requests = new Map<Socket, IncomingMessage>();
@@ -106,11 +111,15 @@
   });
   server.prependListener('request', (request, response) => {
     const { socket } = request;
+    const earlier = newestResponses.get(socket);
+    if (isClosing && earlier !== undefined && hasAnnouncedEnd(earlier)) {
+      unanswerable.add(request);
+      return;
+    }
     requests.set(socket, request);
     response.once('close', () => {
       if (requests.get(socket) === request) requests.delete(socket);
     });
-    const earlier = newestResponses.get(socket);
     newestResponses.set(socket, response);
     if (!isClosing) return;
     // The connection ends after its last response only.
@@ -120,6 +129,10 @@
 
   return { close: () => close(server) };
 
+  function handle(request: IncomingMessage, response: ServerResponse): void {
+    if (!unanswerable.has(request)) (app.handler as RequestListener)(request, response);
+  }
+
   function close(closing: Server): Promise<void> {
     isClosing = true;
     const arrivalDeadline = performance.now() + ARRIVAL_TIMEOUT_MS;
@@ -143,3 +156,8 @@
     }
   }
 }
+
+/** Whether the caller has been told that the connection ends with this response. */
+function hasAnnouncedEnd({ headersSent, shouldKeepAlive }: ServerResponse): boolean {
+  return headersSent && !shouldKeepAlive;
+}
--- a/test/unit/common/httpServer.test.ts
+++ b/test/unit/common/httpServer.test.ts
@@ -5,7 +5,7 @@
 import { connect, type Socket } from 'node:net';
 import { describe, it } from 'node:test';
 import polka from 'polka';
-import { startServer, type RunningServer } from '../../../src/common/httpServer.js';
+import { startServer } from '../../../src/common/httpServer.js';
 import { delay } from '../../fixtures/deployment.js';
 import { getFreePort } from '../../fixtures/ports.js';
 
@@ -19,9 +19,15 @@
 const TAIL_LENGTH = 100;
 const logger = { event() {} };
 
-async function startLargeServer(): Promise<{ server: RunningServer; port: number }> {
+/** Starts a server; `listPaths` returns the paths of the requests that it has handled. */
+async function startLargeServer() {
   const port = await getFreePort();
   const app = polka();
+  const paths: string[] = [];
+  app.use((request, _response, next) => {
+    paths.push(request.path);
+    next();
+  });
   app.get('/', (_request, response) => {
     response.setHeader('Content-Length', BODY_BYTES);
     response.end(Buffer.alloc(BODY_BYTES));
@@ -29,7 +35,12 @@
   app.get('/slow', (_request, response) => {
     setTimeout(() => response.end('slow answer'), SLOW_ANSWER_MS);
   });
-  return { server: await startServer(app, { logger, address: `127.0.0.1:${port}` }), port };
+  app.get('/stream', (_request, response) => {
+    response.write('first part');
+    setTimeout(() => response.end('last part'), SLOW_ANSWER_MS);
+  });
+  const server = await startServer(app, { logger, address: `127.0.0.1:${port}` });
+  return { server, port, listPaths: () => paths };
 }
 
 /** Sends a request and does not read its response yet. */
@@ -123,4 +134,19 @@
     assert.ok(performance.now() - closedAt < STOP_LIMIT_MS);
     socket.destroy();
   });
+
+  it('runs no request that it cannot answer, as an answer before it ends the connection', async () => {
+    const { server, port, listPaths } = await startLargeServer();
+    const socket = connect(port, '127.0.0.1');
+    socket.on('error', () => {});
+    socket.resume();
+    await delay(PAUSE_MS);
+    const closed = server.close();
+    for (const path of ['/stream', '/slow']) {
+      socket.write(`GET ${path} HTTP/1.1\r\nHost: a.example\r\n\r\n`);
+      await delay(PAUSE_MS);
+    }
+    await closed;
+    assert.deepEqual(listPaths(), ['/stream']);
+  });
 });
