Learn of an endpoint's crash without a request to it

Callers could get streams joined from two software versions (ORDER), and streams of a version unknown to the gateway, from an endpoint that had crashed and started again without an announcement yet.

Cause: only a request shows a gateway that an endpoint's process has ended. One that sends nothing while the endpoint is down goes on with the announcement of the incarnation that is gone; what another gateway has seen is passed on as an ejection, under which single requests are still sent.

Evidence: in 7 failed runs of the test of an endpoint without streams, the gateway whose streams were joined had no failed send while the endpoint was down, though its idle connections were closed; in 6 of them the other gateway had been refused.

Change: when an endpoint that takes requests closes the last connection, and none runs on it, the gateway opens one at once; a refusal counts as a crash, anything else changes nothing.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -68,6 +68,7 @@
     random: Math.random,
     registry,
     onLeaving: (announcement) => feed.announce(announcement),
+    onConnectionsLost: (endpoint) => crashDetector.recordLostConnections(endpoint),
   });
   const quotas = createQuotas({
     now,
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -36,7 +36,7 @@
   endpoints: EndpointTracker;
   retryBudget: RetryBudget;
   stallDetector: StallDetector;
-  crashDetector: CrashDetector;
+  crashDetector: Pick<CrashDetector, 'recordInterruption'>;
   crashSuspects: CrashSuspects;
   drain: Pick<Drain, 'mayBegin'>;
   /** Receives where streams of this gateway begin. */
--- a/test/unit/gateway/endlessBytes.test.ts
+++ b/test/unit/gateway/endlessBytes.test.ts
@@ -40,7 +40,10 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as AddressInfo;
-  const client = createEndpointClient(`127.0.0.1:${port}`, () => performance.now());
+  const client = createEndpointClient(`127.0.0.1:${port}`, {
+    now: () => performance.now(),
+    onLost() {},
+  });
   try {
     await new Promise<void>((resolve) => {
       const limitTimer = setInterval(() => {
