Simulate keepers whose disks are full in turn

The seeded schedules of Raft had no disk that refuses writes for a while. At the end a change is accepted within 3 s, unless links lose messages to the end, and each keeper has its vote.

--- a/test/unit/keeper/raftSchedules.test.ts
+++ b/test/unit/keeper/raftSchedules.test.ts
@@ -13,6 +13,7 @@
 
 const noFaults: FaultRates = {
   crash: 0,
+  fullDisk: 0,
   diskLoss: 0,
   partition: 0,
   lostMessage: 0,
@@ -26,7 +27,15 @@
   voters?: number,
   requiredVoters?: number,
 ): ScheduleReport {
-  const total: ScheduleReport = { committed: 0, terms: 0, crashes: 0, diskLosses: 0, snapshots: 0 };
+  const total: ScheduleReport = {
+    committed: 0,
+    terms: 0,
+    crashes: 0,
+    diskLosses: 0,
+    fullDisks: 0,
+    removals: 0,
+    snapshots: 0,
+  };
   for (let seed = firstSeed; seed < firstSeed + SCHEDULES; seed += 1) {
     const report = runSchedule(seed, STEPS, faultRates, voters, requiredVoters);
     for (const key of Object.keys(total) as (keyof ScheduleReport)[]) total[key] += report[key];
@@ -72,6 +81,7 @@
 
   it('when all of these faults happen at once, with five keepers', () => {
     const faultRates = {
+      ...noFaults,
       crash: 10,
       diskLoss: 15,
       partition: 15,
@@ -83,6 +93,40 @@
     assert.ok(total.diskLosses > 0 && total.crashes > 0);
   });
 
+  it('when disks are full for seconds, one after the other, and changes go on soon after', () => {
+    const faultRates = { ...noFaults, fullDisk: 20, snapshot: 5 };
+    for (const [voters, requiredVoters] of [
+      [3, 3],
+      [4, 3],
+      [5, 3],
+    ]) {
+      const total = runMany(7_000, faultRates, voters, requiredVoters);
+      assert.ok(total.fullDisks > SCHEDULES, `${total.fullDisks} full disks`);
+    }
+  });
+
+  it('when keepers also crash while a disk is full', () => {
+    const faultRates = { ...noFaults, fullDisk: 20, crash: 2, snapshot: 5 };
+    for (const [voters, requiredVoters] of [
+      [3, 3],
+      [4, 3],
+    ]) {
+      const total = runMany(8_000, faultRates, voters, requiredVoters);
+      assert.ok(total.fullDisks > SCHEDULES && total.crashes > 0);
+    }
+  });
+
+  it('when messages are lost while a disk is full, and each keeper has its vote at the end', () => {
+    const faultRates = { ...noFaults, fullDisk: 20, crash: 2, lostMessage: 20, snapshot: 5 };
+    for (const [voters, requiredVoters] of [
+      [3, 3],
+      [4, 3],
+    ]) {
+      const total = runMany(9_000, faultRates, voters, requiredVoters);
+      assert.ok(total.fullDisks > SCHEDULES && total.crashes > 0);
+    }
+  });
+
   it('when voters that are silent for long lose their vote, down to three of five', () => {
     const faultRates = { ...noFaults, crash: 8, diskLoss: 15, partition: 25, lostMessage: 10 };
     const total = runMany(6_000, faultRates, 5, 3);
