Count the last flush of the log in the drain limit of a gateway

What operators saw: a gateway whose log reader stalled was there 1.9 s after all else had ended, beyond its drain limit, at whose end it may be killed.

Cause: the last flush waits 1 s for the reader, whatever time is left, and then the exit tries ten times more, 0.1 s apart, to write the same lines.

--- a/src/common/logSink.ts
+++ b/src/common/logSink.ts
@@ -19,8 +19,11 @@
   write(line: string): void;
   /** Returns the number of lines dropped since the previous call. */
   takeDroppedCount(): number;
-  /** Writes the buffered lines. Resolves once the reader has taken them, or after a timeout. */
-  flush(): Promise<void>;
+  /**
+   * Writes the buffered lines. Resolves once the reader has taken them, or after a timeout, at the
+   * latest after `limitMs`.
+   */
+  flush(limitMs: number): Promise<void>;
   /** Writes the buffered lines before the process exits, as far as the reader takes them in time. */
   flushSync(): void;
   /** Whether a thread is blocked in a write because the reader takes nothing. */
@@ -47,6 +50,8 @@
   });
   /** When the oldest flush that is not complete began. */
   let flushingSince: number | undefined;
+  /** Whether the reader has not taken the lines of a last flush in time. */
+  let hasGivenUp = false;
   stream.on('drain', endFlush);
   // If standard output is closed, there is nowhere to report the error.
   stream.on('error', endFlush);
@@ -60,15 +65,19 @@
       dropped = 0;
       return count;
     },
-    flush: () =>
+    flush: (limitMs) =>
       new Promise((resolve) => {
-        setTimeout(resolve, FLUSH_TIMEOUT_MS);
+        const giveUp = (): void => {
+          hasGivenUp = true;
+          resolve();
+        };
+        setTimeout(giveUp, Math.max(0, Math.min(limitMs, FLUSH_TIMEOUT_MS)));
         stream.once('drain', resolve);
         stream.once('error', resolve);
         startFlush();
       }),
     flushSync() {
-      attemptsLeft = FINAL_WRITE_ATTEMPTS;
+      attemptsLeft = hasGivenUp ? 1 : FINAL_WRITE_ATTEMPTS;
       try {
         stream.flushSync();
       } catch {
@@ -77,7 +86,7 @@
     },
     get isBlocked() {
       if (nonBlocking !== undefined || flushingSince === undefined) return false;
-      return performance.now() - flushingSince >= FLUSH_TIMEOUT_MS;
+      return hasGivenUp || performance.now() - flushingSince >= FLUSH_TIMEOUT_MS;
     },
   };
 
--- a/src/common/logging.ts
+++ b/src/common/logging.ts
@@ -21,14 +21,16 @@
 let processSink: LogSink | undefined;
 
 /**
- * Exits after a regular stop, once the reader of the log has taken the buffered lines. If a thread
- * is blocked, for example by a disk that does not return, the process kills itself.
+ * Exits after a regular stop, once the reader of the log has taken the buffered lines, but begins
+ * to exit within `limitMs`. If a thread is blocked, for example by a disk that does not return, the
+ * process kills itself.
  */
-export async function endProcess(exitCode: number): Promise<void> {
-  await processSink?.flush();
-  const deadline = performance.now() + THREADS_TIMEOUT_MS;
+export async function endProcess(exitCode: number, limitMs: number): Promise<void> {
+  const endAt = performance.now() + limitMs;
+  await processSink?.flush(limitMs);
+  const threadsEndAt = Math.min(endAt, performance.now() + THREADS_TIMEOUT_MS);
   while (hasBusyThread()) {
-    if (performance.now() > deadline) process.kill(process.pid, 'SIGKILL');
+    if (performance.now() > threadsEndAt) process.kill(process.pid, 'SIGKILL');
     await delay(THREADS_POLL_MS);
   }
   abortProcess(exitCode);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -21,6 +21,8 @@
 const GATEWAY_STOP_MARGIN_MS = 10_000;
 /** Longer than any request runs, as entries and agents wait for their requests. */
 const REQUESTS_STOP_TIMEOUT_MS = 3_600_000;
+/** Time that the exit itself takes. */
+const EXIT_MS = 100;
 const usage = `Usage: turmericrackd --config FILE [--check]
 
   --config FILE  settings (TOML)
@@ -150,12 +152,17 @@
     }
   }
 
-  async function end(): Promise<void> {
+  async function end(stopMs: number): Promise<void> {
     metrics?.close();
-    await endProcess(0);
+    await endProcess(0, getGraceMs(settings) - stopMs - EXIT_MS);
   }
 }
 
+/** Returns the time after which a process that stops may be killed. */
+function getGraceMs({ role, gateway }: ProcessSettings): number {
+  return role === 'gateway' ? gateway.drainLimitMs : Number.POSITIVE_INFINITY;
+}
+
 /** Returns a time that no graceful shutdown of the role takes. */
 function getStopTimeoutMs(settings: ProcessSettings): number {
   switch (settings.role) {
--- a/src/daemon/lifecycle.ts
+++ b/src/daemon/lifecycle.ts
@@ -26,8 +26,8 @@
   reload(running: RunningProcess): void;
   /** Exits after an internal error. */
   fail(caught: unknown): void;
-  /** Exits after a graceful shutdown. */
-  end(): Promise<void>;
+  /** Exits after a graceful shutdown that took `stopMs`. */
+  end(stopMs: number): Promise<void>;
 }
 
 /** A role that is starting, running or stopping. */
@@ -74,6 +74,7 @@
 
   async function stop(signal: HandledSignal): Promise<void> {
     logger.event('processStopping', { signal });
+    const startedAt = performance.now();
     stopping.abort();
     const timer = setTimeout(() => host.fail(stopTimedOut), host.stopTimeoutMs);
     try {
@@ -86,6 +87,6 @@
       clearTimeout(timer);
     }
     logger.event('processStopped', {});
-    await host.end();
+    await host.end(performance.now() - startedAt);
   }
 }
--- a/test/integration/logReaders.test.ts
+++ b/test/integration/logReaders.test.ts
@@ -5,7 +5,7 @@
 import { describe, it } from 'node:test';
 import { request } from 'undici';
 import { splitAddress } from '../../src/common/settings.js';
-import { createDaemon, type Daemon, type DaemonKind } from '../fixtures/daemons.js';
+import { createDaemon, drainLimitMs, type Daemon, type DaemonKind } from '../fixtures/daemons.js';
 import { delay, waitFor } from '../fixtures/deployment.js';
 import { startWithOutputs, type OutputKind, type OutputProcess } from '../fixtures/outputs.js';
 
@@ -136,6 +136,22 @@
     await Promise.all(kinds.map((kind) => expectToOutlive(kind, 'stalled', 'stopping')));
   });
 
+  it('within the drain limit of a gateway whose output nobody reads', async () => {
+    const daemon = await createDaemon('gateway');
+    const running = startWithOutputs(daemon.args, 'stalled');
+    try {
+      await waitForStart(daemon);
+      await delay(OBSERVED_MS);
+      const startedAt = performance.now();
+      await expectOrderlyEnd(running);
+      const stopMs = performance.now() - startedAt;
+      assert.ok(stopMs < drainLimitMs, `${stopMs} ms`);
+    } finally {
+      await running.kill();
+      daemon.removeFolder();
+    }
+  });
+
   it('while the disk of its log file takes seconds for a sync', async () => {
     await Promise.all(kinds.map(expectToStopWithSlowSync));
   });
