Say what stands twice once in the tests of endpoints and schedules

The tests of an endpoint that announces another incarnation begin a response in one place, and an empty report of a schedule is made in one place.

--- a/test/unit/gateway/endpointTracker.test.ts
+++ b/test/unit/gateway/endpointTracker.test.ts
@@ -132,16 +132,22 @@
 
   afterEach(() => server?.close());
 
-  // Streams of the new incarnation were cut and resumed at the version of the one before.
-  it('go on where it had served them before its first announcement', async () => {
+  /** Sends a request of whose response a part has arrived. */
+  async function beginResponse() {
     server = await startServer();
     const { sockets } = server;
-    const { tracker, announce } = startTracker(server.address);
-    const before = getEndpoint(tracker);
-    const outcome = send(before);
+    const started = startTracker(server.address);
+    const endpoint = getEndpoint(started.tracker);
+    const outcome = send(endpoint);
     await waitFor('a connection', () => sockets.length === 1);
     sockets[0]?.write(`${HEAD}ab`);
     await waitFor('a part of the response', () => outcome.body === 'ab');
+    return { ...started, endpoint, outcome, sockets };
+  }
+
+  // Streams of the new incarnation were cut and resumed at the version of the one before.
+  it('go on where it had served them before its first announcement', async () => {
+    const { tracker, announce, endpoint: before, outcome, sockets } = await beginResponse();
     announce(2, 'v2');
     assert.notEqual(getEndpoint(tracker), before);
     sockets[0]?.write('cd');
@@ -152,13 +158,7 @@
   });
 
   it('are given up if nothing has arrived from it for long', async () => {
-    server = await startServer();
-    const { sockets } = server;
-    const { clock, tracker, announce } = startTracker(server.address);
-    const outcome = send(getEndpoint(tracker));
-    await waitFor('a connection', () => sockets.length === 1);
-    sockets[0]?.write(`${HEAD}ab`);
-    await waitFor('a part of the response', () => outcome.body === 'ab');
+    const { clock, announce, outcome } = await beginResponse();
     clock.advance(SILENT_MS);
     announce(2, 'v2');
     await waitFor('the end of the response', () => outcome.end !== undefined);
@@ -176,13 +176,7 @@
   type Announce = ReturnType<typeof startTracker>['announce'];
 
   async function expectComplete(announceNext: (announce: Announce) => void): Promise<void> {
-    server = await startServer();
-    const { sockets } = server;
-    const { clock, tracker, announce } = startTracker(server.address);
-    const outcome = send(getEndpoint(tracker));
-    await waitFor('a connection', () => sockets.length === 1);
-    sockets[0]?.write(`${HEAD}ab`);
-    await waitFor('a part of the response', () => outcome.body === 'ab');
+    const { clock, announce, outcome, sockets } = await beginResponse();
     clock.advance(SILENT_MS);
     announceNext(announce);
     sockets[0]?.write('cd');
--- a/test/unit/keeper/raftSchedules.test.ts
+++ b/test/unit/keeper/raftSchedules.test.ts
@@ -3,6 +3,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import {
+  createReport,
   runSchedule,
   type FaultRates,
   type ScheduleReport,
@@ -27,15 +28,7 @@
   voters?: number,
   requiredVoters?: number,
 ): ScheduleReport {
-  const total: ScheduleReport = {
-    committed: 0,
-    terms: 0,
-    crashes: 0,
-    diskLosses: 0,
-    fullDisks: 0,
-    removals: 0,
-    snapshots: 0,
-  };
+  const total = createReport();
   for (let seed = firstSeed; seed < firstSeed + SCHEDULES; seed += 1) {
     const report = runSchedule(seed, STEPS, faultRates, voters, requiredVoters);
     for (const key of Object.keys(total) as (keyof ScheduleReport)[]) total[key] += report[key];
@@ -105,16 +98,13 @@
     }
   });
 
-  it('when keepers also crash while a disk is full', () => {
-    const faultRates = { ...noFaults, fullDisk: 20, crash: 2, snapshot: 5 };
-    for (const [voters, requiredVoters] of [
-      [3, 3],
-      [4, 3],
-    ]) {
-      const total = runMany(8_000, faultRates, voters, requiredVoters);
+  for (const voters of [3, 4]) {
+    it(`when keepers also crash while a disk is full, with ${voters} voters`, () => {
+      const faultRates = { ...noFaults, fullDisk: 20, crash: 2, snapshot: 5 };
+      const total = runMany(8_000, faultRates, voters, 3);
       assert.ok(total.fullDisks > SCHEDULES && total.crashes > 0);
-    }
-  });
+    });
+  }
 
   it('when messages are lost while a disk is full, and each keeper has its vote at the end', () => {
     const faultRates = { ...noFaults, fullDisk: 20, crash: 2, lostMessage: 20, snapshot: 5 };
