Let a gateway take no calls before its start is complete

What callers could see: a gateway whose readiness address was taken, for up to a minute, served calls meanwhile; a signal in that time ended it 2 s later as a start that is given up, and cut what it served.

Cause, by reading (a review): calls were accepted before the address of the readiness probe was bound.

Change: the readiness probe is bound first, and says no until calls are accepted.

Measured: the new test, which takes the readiness address and expects the callers' address to be closed meanwhile, failed before (1 run) and passes after (4 of 4); all 13 tests of the file pass.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -52,6 +52,7 @@
   const { gateway } = settings;
   const now = (): number => clock.now();
   const drain = createDrain(now, gateway.drainLimitMs - STOP_MARGIN_MS);
+  let isListening = false;
   let reportedReady = false;
   let limits: CallerLimits | undefined;
   const registry = createEndpointRegistry(logger);
@@ -131,6 +132,13 @@
       scheduler.reevaluate();
     },
   });
+  const readiness = polka();
+  readiness.use((_request, response) => {
+    response.statusCode = isReady() ? 200 : 503;
+    response.end();
+  });
+  const readinessServer = await startServer(readiness, { logger, address: gateway.readyListen });
+  // Last, as a start that waits for an address can stop without a drain only while no calls arrive.
   const callServer = await startCallServer({
     clock,
     logger,
@@ -164,17 +172,12 @@
     drain,
     onRefused: (status) => metrics.count('gatewayRefusals', 1, { status: String(status) }),
   });
-  const readiness = polka();
-  readiness.use((_request, response) => {
-    response.statusCode = isReady() ? 200 : 503;
-    response.end();
-  });
-  const readinessServer = await startServer(readiness, { logger, address: gateway.readyListen });
+  isListening = true;
 
   return { stop };
 
   function isReady(): boolean {
-    const ready = tableView.isUsable && !drain.isStarted;
+    const ready = isListening && tableView.isUsable && !drain.isStarted;
     if (ready !== reportedReady) {
       reportedReady = ready;
       const revision = tableView.index?.table.revision ?? 0;
--- a/test/integration/takenAddresses.test.ts
+++ b/test/integration/takenAddresses.test.ts
@@ -91,4 +91,23 @@
       }
     });
   }
+
+  it('for the readiness probe of a gateway keeps it from taking requests', async () => {
+    const daemon = await createDaemon('gateway');
+    const holder = await take(daemon.readyListen);
+    const starting = daemon.start();
+    try {
+      await waitFor('the attempt', () => countEvents(starting, 'addressUnavailable') === 1);
+      await assert.rejects(request(`http://${daemon.listen}/`), { code: 'ECONNREFUSED' });
+      await giveBack(holder);
+      await waitFor('the start', () => countEvents(starting, 'processStarted') === 1);
+      const { body } = await request(`http://${daemon.listen}/`);
+      await body.dump();
+      assert.equal(await starting.stop(), 0);
+    } finally {
+      await starting.kill();
+      holder.close();
+      daemon.removeFolder();
+    }
+  });
 });
