Close a caller that reads nothing although it sends another request

What callers saw: nothing; a keeper that stopped waited for one caller until its stop timed out, and then ended as failed.

Cause: a closing server does not run a request behind an answer that has announced the end of the connection. Its response stays open, and the time limit for callers that read nothing was set only once all responses of a connection were complete.

Change: responses behind the announced end do not count.

Measured: the new test failed before (1 of 1, the server was still open after 8 s) and passes (1 of 1), with the other six of its file.

--- a/src/common/httpServer.ts
+++ b/src/common/httpServer.ts
@@ -10,7 +10,7 @@
 import type { Socket } from 'node:net';
 import type { Polka } from 'polka';
 import { raise } from './failure.js';
-import { keepUnsentResponses } from './idleConnections.js';
+import { hasAnnouncedEnd, keepUnsentResponses } from './idleConnections.js';
 import { retryListening, type ListenTarget } from './listening.js';
 import { splitAddress } from './settings.js';
 
@@ -156,8 +156,3 @@
     }
   }
 }
-
-/** Whether the caller has been told that the connection ends with this response. */
-function hasAnnouncedEnd({ headersSent, shouldKeepAlive }: ServerResponse): boolean {
-  return headersSent && !shouldKeepAlive;
-}
--- a/src/common/idleConnections.ts
+++ b/src/common/idleConnections.ts
@@ -70,11 +70,20 @@
   return openResponses.size === 0 && socket.bytesRead === bytesAtResponse;
 }
 
+/** Whether the caller has been told that the connection ends with this response. */
+export function hasAnnouncedEnd({ headersSent, shouldKeepAlive }: ServerResponse): boolean {
+  return headersSent && !shouldKeepAlive;
+}
+
 /** Closes the connection if its caller stops to read a response that is complete. */
 function limitStall(socket: Socket, connection: Connection): void {
   const { openResponses, hasStallTimeout } = connection;
   if (hasStallTimeout || openResponses.size === 0) return;
-  for (const { writableEnded } of openResponses) if (!writableEnded) return;
+  for (const response of openResponses) {
+    if (!response.writableEnded) return;
+    // None that follows is sent.
+    if (hasAnnouncedEnd(response)) break;
+  }
   connection.hasStallTimeout = true;
   socket.setTimeout(SEND_STALL_TIMEOUT_MS);
 }
--- a/test/unit/common/httpServer.test.ts
+++ b/test/unit/common/httpServer.test.ts
@@ -149,4 +149,21 @@
     await closed;
     assert.deepEqual(listPaths(), ['/stream']);
   });
+
+  it('does not wait for a caller that never reads and sends a request that is not run', async () => {
+    const { server, port, listPaths } = await startLargeServer();
+    const socket = connect(port, '127.0.0.1');
+    socket.on('error', () => {});
+    socket.pause();
+    await delay(PAUSE_MS);
+    const closed = server.close().then(() => 'closed');
+    for (const path of ['/', '/slow']) {
+      socket.write(`GET ${path} HTTP/1.1\r\nHost: a.example\r\n\r\n`);
+      await delay(PAUSE_MS);
+    }
+    const outcome = await Promise.race([closed, delay(STOP_LIMIT_MS)]);
+    socket.destroy();
+    assert.equal(outcome, 'closed');
+    assert.deepEqual(listPaths(), ['/']);
+  });
 });
