Revert "Learn of an endpoint's crash without a request to it"

A review had found, by reading, that one gateway that alone is refused keeps the others from an endpoint.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -69,7 +69,6 @@
     random: Math.random,
     registry,
     onLeaving: (announcement) => feed.announce(announcement),
-    onConnectionsLost: (endpoint) => crashDetector.recordLostConnections(endpoint),
   });
   const quotas = createQuotas({
     now,
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -36,7 +36,7 @@
   endpoints: EndpointTracker;
   retryBudget: RetryBudget;
   stallDetector: StallDetector;
-  crashDetector: Pick<CrashDetector, 'recordInterruption'>;
+  crashDetector: CrashDetector;
   crashSuspects: CrashSuspects;
   drain: Pick<Drain, 'mayBegin'>;
   /** Receives where streams of this gateway begin. */
--- a/src/gateway/crashDetector.ts
+++ b/src/gateway/crashDetector.ts
@@ -1,7 +1,7 @@
 /**
- * Tells crashes of endpoints from responses that broke off, and connections that were closed, for
- * another reason: an endpoint has crashed if it accepts no connections right after. One probe serves
- * all responses that an endpoint breaks off at a time.
+ * Tells crashes of endpoints from responses that broke off for another reason: an endpoint has
+ * crashed if it accepts no connections right after. One probe serves all responses that an endpoint
+ * breaks off at a time.
  */
 
 import type { Logger } from '../common/logging.js';
@@ -30,8 +30,6 @@
 export interface CrashDetector {
   /** Records a response that an endpoint broke off. */
   recordInterruption(endpoint: Endpoint, interrupted: InterruptedCall): void;
-  /** Records that an endpoint closed the last connection while no request ran on it. */
-  recordLostConnections(endpoint: Endpoint): void;
 }
 
 /** Creates a detector. */
@@ -39,7 +37,7 @@
   /** Interrupted requests of the endpoints that are being probed. */
   const probed = new Map<Endpoint, InterruptedCall[]>();
 
-  return { recordInterruption, recordLostConnections };
+  return { recordInterruption };
 
   function recordInterruption(endpoint: Endpoint, interrupted: InterruptedCall): void {
     const known = probed.get(endpoint);
@@ -51,19 +49,11 @@
     void probe(endpoint);
   }
 
-  function recordLostConnections(endpoint: Endpoint): void {
-    if (probed.has(endpoint)) return;
-    probed.set(endpoint, []);
-    void probe(endpoint);
-  }
-
   async function probe(endpoint: Endpoint): Promise<void> {
     const outcome = await endpoint.client.probe();
     const interrupted = probed.get(endpoint) ?? [];
     probed.delete(endpoint);
     if (outcome === 'accepted' || outcome === 'notTried') return;
-    // Endpoints close idle connections for other reasons as well.
-    if (interrupted.length === 0 && outcome !== 'refused') return;
     logCrash(endpoint, interrupted);
     host.onCrash(endpoint, interrupted, outcome === 'refused');
   }
--- a/src/gateway/endpointClient.ts
+++ b/src/gateway/endpointClient.ts
@@ -57,13 +57,6 @@
 /** Whether an endpoint accepts a connection. */
 export type ProbeOutcome = 'accepted' | ConnectFailure;
 
-/** Dependencies of a client. */
-export interface EndpointClientHost {
-  now(): number;
-  /** Called when the endpoint closes the last connection, on which no request runs. */
-  onLost(): void;
-}
-
 /** A client of one endpoint. */
 export interface EndpointClient {
   send(request: EndpointRequest, handler: ResponseHandler): Exchange;
@@ -91,12 +84,11 @@
 }
 
 /** Creates a client of the endpoint at `address` (host:port). */
-export function createEndpointClient(address: string, host: EndpointClientHost): EndpointClient {
+export function createEndpointClient(address: string, now: () => number): EndpointClient {
   const connections = new Set<Connection>();
   // Used as a stack: the most recently used connection is reused first, so that unneeded ones reach
   // their idle timeout.
   const idle: Connection[] = [];
-  const openSockets = new Set<Socket>();
 
   return { send, probe, retire, close };
 
@@ -113,7 +105,8 @@
 
     function openSocket(_options: unknown, done: buildConnector.Callback): void {
       connection.hasFailed = false;
-      const socket = connectSocket({ ...splitAddress(address), noDelay: true });
+      const { host, port } = splitAddress(address);
+      const socket = connectSocket({ host, port, noDelay: true });
       const timer = setTimeout(() => socket.destroy(createTimeoutError()), CONNECT_TIMEOUT_MS);
       const fail = (error: Error): void => done(error, null);
       socket.once('error', fail);
@@ -121,35 +114,23 @@
       socket.once('connect', () => {
         clearTimeout(timer);
         socket.off('error', fail);
-        socket.on('error', (error) => {
+        socket.on('error', () => {
           connection.hasFailed = true;
-          if (isReset(error)) watchLoss(connection, socket);
         });
         socket.on('end', () => {
-          watchLoss(connection, socket);
           // A reset that arrives together with data is reported as 'end', but the socket then no
           // longer has a peer.
           if (socket.remoteAddress === undefined) connection.hasFailed = true;
         });
         connection.socket = socket;
         connection.bytesAtProgress = 0;
-        connection.heardAt = host.now();
-        openSockets.add(socket);
-        socket.once('close', () => openSockets.delete(socket));
+        connection.heardAt = now();
         socket.on('readable', () => limitBytes(connection, socket));
         done(null, socket);
       });
     }
   }
 
-  /** Reports that the endpoint has closed an idle connection if no other one is open then. */
-  function watchLoss(connection: Connection, socket: Socket): void {
-    if (!idle.includes(connection)) return;
-    socket.once('close', () => {
-      if (openSockets.size === 0) host.onLost();
-    });
-  }
-
   /** Closes a connection on which bytes without end arrive that are no response. */
   function limitBytes({ bytesAtProgress }: Connection, socket: Socket): void {
     if (socket.bytesRead - bytesAtProgress <= MAX_BYTES_WITHOUT_PROGRESS) return;
@@ -162,7 +143,7 @@
 
   function recordResponse(connection: Connection): void {
     recordProgress(connection);
-    connection.heardAt = host.now();
+    connection.heardAt = now();
   }
 
   function createClient(connect: buildConnector.connector): Client {
@@ -239,7 +220,8 @@
 
   function probe(): Promise<ProbeOutcome> {
     return new Promise((resolve) => {
-      const socket = connectSocket(splitAddress(address));
+      const { host, port } = splitAddress(address);
+      const socket = connectSocket({ host, port });
       const end = (outcome: ProbeOutcome): void => {
         clearTimeout(timer);
         socket.destroy();
@@ -292,10 +274,6 @@
   return (error as NodeJS.ErrnoException).code;
 }
 
-function isReset(error: Error): boolean {
-  return (error as NodeJS.ErrnoException).code === 'ECONNRESET';
-}
-
 function isInvalidRequest(error: Error): boolean {
   return getCode(error) === INVALID_REQUEST_CODE;
 }
--- a/src/gateway/endpointHealth.ts
+++ b/src/gateway/endpointHealth.ts
@@ -14,8 +14,6 @@
 const MAX_EJECTION_MS = 4_000;
 /** Time in which the first announcement of an endpoint that starts again has arrived. */
 const RESTART_ANNOUNCEMENT_MS = 4_000;
-/** Time for which a crash is taken for granted that another gateway has seen; reports repeat it. */
-const REMOTE_CRASH_MS = 400;
 /** Time on probation during which only retryable requests probe the endpoint. */
 const RETRYABLE_ONLY_MS = 1_000;
 
@@ -51,10 +49,6 @@
    * incarnation, of another software version; its announcement replaces this state.
    */
   recordCrash(now: number): void;
-  /** Whether this gateway has seen that the endpoint's process has ended, not long ago. */
-  isCrashed(now: number): boolean;
-  /** Records that another gateway has seen that. */
-  recordRemoteCrash(now: number): void;
   /** Records that the endpoint wants no requests from this gateway until `until`. */
   recordUnwanted(until: number): void;
 }
@@ -66,7 +60,6 @@
   let ejectedUntil = 0;
   let ejectionMs = MIN_EJECTION_MS;
   let awayUntil = 0;
-  let crashedUntil = 0;
   let isOnProbation = false;
   let isEjectedElsewhere = false;
 
@@ -97,16 +90,12 @@
       else eject(now);
     },
     recordCrash,
-    isCrashed: (now) => now < crashedUntil,
-    // Not included in this gateway's own reports either.
-    recordRemoteCrash: (now) => keepFrom(now + REMOTE_CRASH_MS),
     recordUnwanted: keepFrom,
   };
 
   function recordCrash(now: number): void {
     eject(now);
-    crashedUntil = now + RESTART_ANNOUNCEMENT_MS;
-    keepFrom(crashedUntil);
+    keepFrom(now + RESTART_ANNOUNCEMENT_MS);
   }
 
   function keepFrom(until: number): void {
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -62,8 +62,6 @@
   registry: EndpointRegistry;
   /** Called once when an endpoint states in a response that it leaves. */
   onLeaving(announcement: Announcement): void;
-  /** Called when an endpoint that takes requests closes the last connection, on which none runs. */
-  onConnectionsLost(endpoint: Endpoint): void;
 }
 
 /** All endpoints of a gateway. */
@@ -143,20 +141,10 @@
     }
   }
 
-  function reportLostConnections(announcement: Announcement): void {
-    const { endpointId } = announcement;
-    const endpoint = endpoints.get(endpointId);
-    if (endpoint?.announcement !== announcement || !host.registry.isUsable(endpointId)) return;
-    host.onConnectionsLost(endpoint);
-  }
-
   function createEndpoint(announcement: Announcement): Endpoint {
     return {
       announcement,
-      client: createEndpointClient(announcement.address, {
-        now: host.now,
-        onLost: () => reportLostConnections(announcement),
-      }),
+      client: createEndpointClient(announcement.address, host.now),
       health: createEndpointHealth(),
       speed: createEndpointSpeed(),
       slotLimiter: createSlotLimiter(host.now, host.random),
@@ -213,7 +201,7 @@
 
   function applyReport(report: GatewayReport): void {
     for (const load of report.loads) {
-      applyRemoteHealth(load);
+      if (load.isOut) applyRemoteEjection(load.endpointId);
       applyRate(report, load);
     }
     peerLoads.apply(report);
@@ -230,14 +218,11 @@
     endpoint?.rateLimit.applyPeer({ gatewayId, incarnation, sent, isWanted, statement });
   }
 
-  /** Ignores an ejection or a crash if this gateway itself has recently heard from the endpoint. */
-  function applyRemoteHealth({ endpointId, isOut, crashedBornAtMs }: EndpointLoad): void {
+  /** Ignores the ejection if this gateway itself has recently heard from the endpoint. */
+  function applyRemoteEjection(endpointId: string): void {
     const endpoint = endpoints.get(endpointId);
-    const now = host.now();
-    if (endpoint === undefined || now - endpoint.lastActivityAt <= RECENT_MS) return;
-    const { announcement, health } = endpoint;
-    if (isOut) health.recordRemoteEjection();
-    if (crashedBornAtMs === announcement.bornAtMs) health.recordRemoteCrash(now);
+    if (endpoint === undefined) return;
+    if (host.now() - endpoint.lastActivityAt > RECENT_MS) endpoint.health.recordRemoteEjection();
   }
 
   function recordStatements(endpoint: Endpoint, head: ResponseHead, sentAt: number): void {
@@ -278,8 +263,7 @@
 
   function listLoads(): EndpointLoad[] {
     const loads: EndpointLoad[] = [];
-    for (const [endpointId, endpoint] of endpoints) {
-      const { announcement, running, unreadTokens, health, rateLimit } = endpoint;
+    for (const [endpointId, { running, unreadTokens, health, rateLimit }] of endpoints) {
       const { isEjected: isOut } = health;
       const rateStatement = toRateStatement(rateLimit);
       if (running === 0 && !isOut && rateStatement === undefined) continue;
@@ -289,7 +273,6 @@
         isOut,
         unreadTokens: Math.min(unreadTokens, MAX_REPORTED_TOKENS),
         rateStatement,
-        crashedBornAtMs: health.isCrashed(host.now()) ? announcement.bornAtMs : undefined,
       });
     }
     return loads;
--- a/test/unit/gateway/crashDetector.test.ts
+++ b/test/unit/gateway/crashDetector.test.ts
@@ -67,15 +67,6 @@
     assert.deepEqual(logged, []);
   });
 
-  it('takes lost connections for a crash only if the next one is refused', async () => {
-    for (const outcome of ['accepted', 'unanswered', 'refused'] as const) {
-      const { detector, endpoint, refusals } = startDetector(outcome);
-      detector.recordLostConnections(endpoint);
-      await settle();
-      assert.deepEqual(refusals, outcome === 'refused' ? [true] : []);
-    }
-  });
-
   it('takes the process for ended only if a connection is refused', async () => {
     for (const outcome of ['refused', 'unanswered'] as const) {
       const { detector, endpoint, refusals } = startDetector(outcome);
--- a/test/unit/gateway/endlessBytes.test.ts
+++ b/test/unit/gateway/endlessBytes.test.ts
@@ -40,10 +40,7 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as AddressInfo;
-  const client = createEndpointClient(`127.0.0.1:${port}`, {
-    now: () => performance.now(),
-    onLost() {},
-  });
+  const client = createEndpointClient(`127.0.0.1:${port}`, () => performance.now());
   try {
     await new Promise<void>((resolve) => {
       const limitTimer = setInterval(() => {
--- a/test/unit/gateway/endpointClient.test.ts
+++ b/test/unit/gateway/endpointClient.test.ts
@@ -5,8 +5,6 @@
 import { describe, it } from 'node:test';
 import { createEndpointClient, type EndpointClient } from '../../../src/gateway/endpointClient.js';
 
-const host = { now: () => performance.now(), onLost() {} };
-
 type Outcome =
   | { kind: 'end'; status: number; body: string }
   | { kind: 'failure'; wasSent: boolean; reason: string }
@@ -42,7 +40,7 @@
 /** Sends one request; with `hasUnreadBody` it has a body that the endpoint leaves mostly unread. */
 async function sendOnce(serve: (socket: Socket) => void, hasUnreadBody = false): Promise<Outcome> {
   const endpoint = await startRawEndpoint(serve);
-  const client = createEndpointClient(endpoint.address, host);
+  const client = createEndpointClient(endpoint.address, () => performance.now());
   try {
     return await send(client, hasUnreadBody ? Buffer.alloc(512 * 1024) : undefined);
   } finally {
@@ -122,7 +120,7 @@
   it('reports that nothing was sent if the connection is refused', async () => {
     const endpoint = await startRawEndpoint(() => {});
     endpoint.close();
-    const client = createEndpointClient(endpoint.address, host);
+    const client = createEndpointClient(endpoint.address, () => performance.now());
     const outcome = await send(client);
     client.close();
     assert.equal(outcome.kind === 'failure' && outcome.wasSent, false);
@@ -133,7 +131,7 @@
     const endpoint = await startRawEndpoint((socket) => {
       socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
     });
-    const client = createEndpointClient(endpoint.address, host);
+    const client = createEndpointClient(endpoint.address, () => performance.now());
     const unsendable = await send(client, undefined, ['Host', 'a.example', 'Team', 'Плевен']);
     const next = await send(client);
     client.close();
@@ -151,7 +149,7 @@
       const response = `HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n${connections}`;
       socket.write(response + response);
     });
-    const client = createEndpointClient(endpoint.address, host);
+    const client = createEndpointClient(endpoint.address, () => performance.now());
     const first = await send(client);
     const second = await send(client);
     client.close();
@@ -181,7 +179,7 @@
     });
     const successes: number[] = [];
     for (position = 1; position < brokenHead.length; position += 1) {
-      const client = createEndpointClient(endpoint.address, host);
+      const client = createEndpointClient(endpoint.address, () => performance.now());
       await send(client);
       const outcome = await send(client);
       if (outcome.kind === 'end' && outcome.status !== 500) successes.push(position);
--- a/test/unit/gateway/endpointTracker.test.ts
+++ b/test/unit/gateway/endpointTracker.test.ts
@@ -1,17 +1,16 @@
-/** What a gateway makes of endpoints that start again, or whose processes end. */
+/** Requests that run at an endpoint when another incarnation of it announces itself. */
 
 import assert from 'node:assert/strict';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { VirtualClock } from '../../../src/common/clock.js';
-import { delay } from '../../../src/common/delay.js';
-import type { GatewayReport, Announcement } from '../../../src/generated/control.js';
 import type { ResponseHandler } from '../../../src/gateway/endpointClient.js';
 import {
   createEndpointTracker,
   type Endpoint,
   type EndpointTracker,
 } from '../../../src/gateway/endpointTracker.js';
+import type { Announcement } from '../../../src/generated/control.js';
 import { createEndpointRegistry } from '../../../src/registry/registry.js';
 import { waitFor } from '../../fixtures/deployment.js';
 
@@ -21,9 +20,6 @@
 /** Longer than a connection to a running incarnation is silent. */
 const SILENT_MS = 1_000;
 const START_MS = 10_000;
-/** Time that a close takes to reach the gateway. */
-const CLOSE_DELAY_MS = 50;
-const LOSS_LIMIT_MS = 2_000;
 
 interface Outcome {
   body: string;
@@ -63,14 +59,12 @@
   const logger = { event() {} };
   const registry = createEndpointRegistry(logger);
   registry.declarePools([POOL, OTHER_POOL]);
-  const lost: Endpoint[] = [];
   const tracker = createEndpointTracker({
     logger,
     now: () => clock.now(),
     random: Math.random,
     registry,
     onLeaving() {},
-    onConnectionsLost: (endpoint) => lost.push(endpoint),
   });
   let sequence = 0;
   function announce(
@@ -95,7 +89,7 @@
     tracker.syncWithRegistry();
   }
   announce(1, 'v1');
-  return { clock, tracker, announce, lost };
+  return { clock, tracker, announce };
 }
 
 function getEndpoint(tracker: EndpointTracker): Endpoint {
@@ -184,100 +178,3 @@
     assert.deepEqual(outcome, { body: 'abcd', end: 'complete' });
   }
 });
-
-describe('idle connections to an endpoint', () => {
-  const WHOLE = `${HEAD}abcd`;
-  let server: TestServer | undefined;
-
-  afterEach(() => server?.close());
-
-  /** Opens connections, on each of which one response has ended. */
-  async function openConnections(count: number) {
-    server = await startServer();
-    const { sockets } = server;
-    const started = startTracker(server.address);
-    const endpoint = getEndpoint(started.tracker);
-    const outcomes = Array.from({ length: count }, () => send(endpoint));
-    await waitFor('all connections', () => sockets.length === count);
-    for (const socket of sockets) socket.write(WHOLE);
-    await waitFor('all responses', () => outcomes.every(({ end }) => end === 'complete'));
-    return { ...started, endpoint, sockets };
-  }
-
-  // A crash stayed unnoticed until the next request, which met the incarnation after it.
-  it('show that its process may have ended when it has closed all of them', async () => {
-    const { sockets, lost, endpoint } = await openConnections(2);
-    sockets[0]?.destroy();
-    await delay(CLOSE_DELAY_MS);
-    assert.deepEqual(lost, [], 'one connection is left');
-    sockets[1]?.resetAndDestroy();
-    await waitFor('the loss', () => lost.length > 0, LOSS_LIMIT_MS);
-    assert.deepEqual(lost, [endpoint]);
-  });
-
-  it('show nothing when an endpoint closes one with its response', async () => {
-    const endings = ['Connection: close\r\nContent-Length: 4', 'Connection: close', 'X-Any: 1'];
-    for (const ending of endings) {
-      server = await startServer();
-      const { sockets } = server;
-      const { tracker, lost } = startTracker(server.address);
-      const outcome = send(getEndpoint(tracker));
-      await waitFor('a connection', () => sockets.length === 1);
-      sockets[0]?.end(`HTTP/1.1 200 OK\r\n${ending}\r\n\r\nabcd`);
-      await waitFor('the end of the response', () => outcome.end !== undefined);
-      await delay(CLOSE_DELAY_MS);
-      assert.deepEqual(outcome, { body: 'abcd', end: 'complete' });
-      assert.deepEqual(lost, []);
-      server.close();
-    }
-  });
-
-  it('show nothing when the gateway closes them', async () => {
-    const { tracker, lost } = await openConnections(1);
-    tracker.close();
-    await delay(CLOSE_DELAY_MS);
-    assert.deepEqual(lost, []);
-  });
-
-  it('show nothing when an endpoint that leaves closes them', async () => {
-    const { sockets, lost, announce } = await openConnections(1);
-    announce(1, 'v1', { state: 'leaving' });
-    sockets[0]?.destroy();
-    await delay(CLOSE_DELAY_MS);
-    assert.deepEqual(lost, []);
-  });
-});
-
-describe('an endpoint whose process has ended', () => {
-  const ADDRESS = '127.0.0.1:1';
-
-  function createReport(tracker: EndpointTracker): GatewayReport {
-    const loads = tracker.listLoads();
-    return { gatewayId: 'other', incarnation: '1', loads, uses: [], waiting: 0 };
-  }
-
-  // Another gateway sent single requests there, which the next incarnation served unannounced.
-  it('is used by no gateway while one reports that', () => {
-    const other = startTracker(ADDRESS);
-    const own = startTracker(ADDRESS);
-    own.clock.advance(SILENT_MS);
-    getEndpoint(other.tracker).health.recordCrash(other.clock.now());
-    own.tracker.applyReport(createReport(other.tracker));
-    assert.deepEqual(own.tracker.listUsable(POOL, true), []);
-    assert.ok(
-      own.tracker.listLoads().every(({ crashedBornAtMs }) => crashedBornAtMs === undefined),
-    );
-    own.clock.advance(SILENT_MS);
-    assert.equal(own.tracker.listUsable(POOL, true).length, 1, 'reports have ended');
-  });
-
-  it('is used where its next incarnation is known', () => {
-    const other = startTracker(ADDRESS);
-    const own = startTracker(ADDRESS);
-    getEndpoint(other.tracker).health.recordCrash(other.clock.now());
-    own.announce(2, 'v2');
-    own.clock.advance(SILENT_MS);
-    own.tracker.applyReport(createReport(other.tracker));
-    assert.equal(own.tracker.listUsable(POOL, true).length, 1);
-  });
-});
