Leave the last lines of the log some time, however late the end comes

Cause, by reading: with no time left, a write of the log that was under way counted as a thread that is blocked, for which a process kills itself.

--- a/src/common/logging.ts
+++ b/src/common/logging.ts
@@ -17,6 +17,8 @@
 /** Time that operations on files have to end before the process does. */
 const THREADS_TIMEOUT_MS = 1_000;
 const THREADS_POLL_MS = 20;
+/** Time for the last lines that is given however late the end comes. */
+const MIN_END_MS = 100;
 
 let processSink: LogSink | undefined;
 
@@ -26,9 +28,10 @@
  * process kills itself.
  */
 export async function endProcess(exitCode: number, limitMs: number): Promise<void> {
-  const endAt = performance.now() + limitMs;
-  await processSink?.flush(limitMs);
-  const threadsEndAt = Math.min(endAt, performance.now() + THREADS_TIMEOUT_MS);
+  const endAt = performance.now() + Math.max(limitMs, MIN_END_MS);
+  await processSink?.flush(Math.max(limitMs, MIN_END_MS));
+  const now = performance.now();
+  const threadsEndAt = Math.max(now + MIN_END_MS, Math.min(endAt, now + THREADS_TIMEOUT_MS));
   while (hasBusyThread()) {
     if (performance.now() > threadsEndAt) process.kill(process.pid, 'SIGKILL');
     await delay(THREADS_POLL_MS);
