--- a/src/common/logging.ts
+++ b/src/common/logging.ts
@@ -24,8 +24,8 @@
 
 /**
  * Exits after a regular stop, once the reader of the log has taken the buffered lines, but begins
- * to exit within `limitMs`. If a thread is blocked, for example by a disk that does not return, the
- * process kills itself.
+ * to exit within `limitMs`, or within some 100 ms if that is less. If a thread is blocked, for
+ * example by a disk that does not return, the process kills itself.
  */
 export async function endProcess(exitCode: number, limitMs: number): Promise<void> {
   const endAt = performance.now() + Math.max(limitMs, MIN_END_MS);
