--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -124,7 +124,14 @@
   let publishedRevision = 0;
 
   return {
-    service: createControlService(settings, authority, feedServer, streamOrigins),
+    service: createControlService({
+      settings,
+      clock,
+      logger,
+      authority,
+      feed: feedServer,
+      streamOrigins,
+    }),
     publish,
     async close() {
       // What the API acknowledges until it is closed still has to reach the other processes.
--- a/src/keeper/operatorApi.ts
+++ b/src/keeper/operatorApi.ts
@@ -40,6 +40,7 @@
   close(): Promise<void>;
 }
 
+type Redirect = Extract<Failure, { kind: 'notLeader' }> & { leader: string };
 type Handler = (request: IncomingMessage, parameters: Record<string, string>) => Promise<object>;
 
 /** Starts the API server on the address from the settings. */
@@ -62,17 +63,30 @@
 
   function route(method: 'get' | 'post', path: string, handle: Handler): void {
     app[method](path, async (request, response) => {
+      const startedAt = host.clock.now();
       try {
         authenticate(request);
         await waitForLeader();
         requireLeader();
         sendJson(response, 200, await handle(request, request.params as Record<string, string>));
       } catch (caught) {
-        sendFailure(response, toFailure(caught), request.url);
+        const failure = toFailure(caught);
+        logFailure(request, failure, startedAt);
+        sendFailure(response, failure, request.url);
       }
     });
   }
 
+  function logFailure(request: IncomingMessage, failure: Failure, startedAt: number): void {
+    if (toStatus(failure) < 500 || isRedirect(failure)) return;
+    host.logger.event('operatorCallFailed', {
+      path: request.url ?? '',
+      reason: describeFailure(failure),
+      milliseconds: Math.round(host.clock.now() - startedAt),
+      callerLeft: String(request.socket.destroyed),
+    });
+  }
+
   function authenticate(request: IncomingMessage): void {
     const digest = host.settings.keeper.operatorKeyDigest;
     if (digest === undefined) return;
@@ -224,8 +238,13 @@
   }
 }
 
+/** Whether the failure names the keeper to ask. */
+function isRedirect(failure: Failure): failure is Redirect {
+  return failure.kind === 'notLeader' && failure.leader !== undefined;
+}
+
 function sendFailure(response: ServerResponse, failure: Failure, path = '/'): void {
-  if (failure.kind === 'notLeader' && failure.leader !== undefined) {
+  if (isRedirect(failure)) {
     response.setHeader('Location', `http://${failure.leader}${path}`);
     sendProblem(response, 307, failure);
     return;
