Hold declared tables and reads for the leader, within an operator's second

Operators saw valid configurations without an acknowledgement for seconds. Keepers wasted their attempts in two ways, and each attempt makes an operator's next pause longer: - one that knew no leader answered 503 in a few ms, while a leader was elected some hundred ms later; - one that followed a leader that was gone waited 3 s for it, or 5 s for a proposal of its own, though the operator leaves after one.

Declared tables and reads now go through callLeader: it waits for a leader, tries again when the leader is unavailable, gives up an attempt as soon as another replica leads, and answers after 0.9 s at the latest (later for large tables, which operators wait longer for). Declaring is idempotent, so an attempt that was given up does no harm. An attempt at one leader takes half of that, so that a call behind a lost one has an attempt of its own.

--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -71,6 +71,7 @@
     path: join(settings.keeper.dataFolder, STREAM_ORIGIN_FILE),
   });
   const authority = createTableAuthority({
+    clock,
     metadata,
     tryGetReplica: host.tryGetReplica,
     getClient: (address) => peers.getControlClient(address),
--- a/src/keeper/tableAuthority.ts
+++ b/src/keeper/tableAuthority.ts
@@ -1,19 +1,27 @@
 /** Declares and reads the table on any keeper; followers forward both to the leader. */
 
 import type { Metadata, ServiceError } from '@grpc/grpc-js';
+import type { Clock } from '../common/clock.js';
 import { raise, RaisedFailure } from '../common/failure.js';
 import { deadlineIn } from '../common/rpc.js';
 import type { ControlClient, DeclareResponse, ReadTableRequest } from '../generated/control.js';
 import type { TableDocument } from '../generated/keeper.js';
 import { createDeclarations, type Declarations, type DeclareAlone } from './declarations.js';
+import { callLeader, type KnownLeader } from './leaderCall.js';
 import type { RunningReplica } from './replica.js';
 
-/** Longer than a commit takes on a slow disk, shorter than the timeout of an operator's call. */
-const DECLARE_TIMEOUT_MS = 3_000;
-const READ_TIMEOUT_MS = 900;
+/** Shorter than the second after which an operator asks another keeper. */
+const CALL_TIMEOUT_MS = 900;
+/** Operators wait longer for large tables, which take longer to store. */
+const STORED_BYTES_PER_MS = 2 * 1024;
+/** Share of a call's time for one attempt, so that a call that waited behind a lost one has its own. */
+const ATTEMPT_SHARE = 1 / 2;
+/** No call takes as long. */
+const MAX_QUEUE_MS = 4_000;
 
 /** External dependencies of the table authority. */
 export interface TableAuthorityHost {
+  clock: Pick<Clock, 'now'>;
   metadata: Metadata;
   tryGetReplica(): RunningReplica | undefined;
   getClient(address: string): ControlClient;
@@ -23,7 +31,10 @@
 export interface TableAuthority {
   /** Latest table applied on this keeper; revision 0 if there is none yet. */
   readonly current: TableDocument;
-  /** Resolves once a majority has synced the table. Raises `unavailable` if that is not known. */
+  /**
+   * Resolves once a majority has synced the table. Raises `unavailable` within an operator's timeout
+   * if that is not known by then.
+   */
   declare(table: TableDocument): Promise<DeclareResponse>;
   /** Declares a table on this keeper without forwarding. Raises `notLeader`. */
   declareLocally(table: TableDocument): Promise<DeclareResponse>;
@@ -61,14 +72,32 @@
   }
 
   async function declare(table: TableDocument): Promise<DeclareResponse> {
+    const timeoutMs = CALL_TIMEOUT_MS + table.document.length / STORED_BYTES_PER_MS;
+    return (
+      tryGetSuperseded(table) ??
+      callLeader(host, timeoutMs, async (leader) => {
+        const superseded = tryGetSuperseded(table);
+        if (superseded !== undefined) return superseded;
+        return leader.isSelf ? declareLocally(table) : forward(table, leader, timeoutMs);
+      })
+    );
+  }
+
+  /** Committed tables are never rolled back, so this is decided without the leader. */
+  function tryGetSuperseded(table: TableDocument): DeclareResponse | undefined {
     const { revision } = getCurrent();
-    // Committed tables are never rolled back, so this is decided without the leader.
-    if (table.revision <= revision) return { outcome: 'superseded', revision };
-    const leader = tryGetOtherLeader();
-    if (leader === undefined) return declareLocally(table);
+    return table.revision <= revision ? { outcome: 'superseded', revision } : undefined;
+  }
+
+  function forward(
+    table: TableDocument,
+    { replica }: KnownLeader,
+    timeoutMs: number,
+  ): Promise<DeclareResponse> {
+    const client = host.getClient(replica.address);
     return getDeclarations((declared) =>
       call<DeclareResponse>((done) =>
-        leader.declare(declared, host.metadata, deadlineIn(DECLARE_TIMEOUT_MS), done),
+        client.declare(declared, host.metadata, deadlineIn(timeoutMs * ATTEMPT_SHARE), done),
       ),
     ).declare(table);
   }
@@ -86,7 +115,7 @@
     const { raft } = getReplica();
     const leaderTerm = `${raft.leader?.storeId} ${raft.term}`;
     if (newest?.leaderTerm !== leaderTerm) {
-      newest = { leaderTerm, declarations: createDeclarations(run, DECLARE_TIMEOUT_MS) };
+      newest = { leaderTerm, declarations: createDeclarations(run, MAX_QUEUE_MS) };
     }
     return newest.declarations;
   }
@@ -99,13 +128,18 @@
     return { outcome: result.outcome, revision: replica.state.table.current.revision };
   }
 
-  async function read(): Promise<TableDocument> {
-    const leader = tryGetOtherLeader();
-    if (leader === undefined) return readLocally({ knownRevision: 0 });
+  function read(): Promise<TableDocument> {
+    return callLeader(host, CALL_TIMEOUT_MS, (leader) =>
+      leader.isSelf ? readLocally({ knownRevision: 0 }) : readRemotely(leader),
+    );
+  }
+
+  async function readRemotely({ replica }: KnownLeader): Promise<TableDocument> {
     const { current } = getReplica().state.table;
     const request = { knownRevision: current.revision };
+    const client = host.getClient(replica.address);
     const table = await call<TableDocument>((done) =>
-      leader.readTable(request, host.metadata, deadlineIn(READ_TIMEOUT_MS), done),
+      client.readTable(request, host.metadata, deadlineIn(CALL_TIMEOUT_MS * ATTEMPT_SHARE), done),
     );
     return table.revision === current.revision ? current : table;
   }
@@ -119,14 +153,6 @@
     const isKnown = current.revision === request.knownRevision;
     return isKnown ? { revision: current.revision, document: Buffer.alloc(0) } : current;
   }
-
-  /** Returns a client of the leader, or undefined if this keeper leads. */
-  function tryGetOtherLeader(): ControlClient | undefined {
-    const { raft } = getReplica();
-    if (raft.role === 'leader') return undefined;
-    if (raft.leader === undefined) return raise({ kind: 'unavailable', reason: 'no leader' });
-    return host.getClient(raft.leader.address);
-  }
 }
 
 type Callback<Response> = (error: ServiceError | null, response: Response) => void;
