Make calls of entries and agents at the next leader, within their caller's time

The cause of tables without an acknowledgement, elsewhere: a call of an entry or agent to the keepers (claims, crash reports, solo runs) stayed for 1.5 s at a keeper that no longer answered, although the session had followed the next leader long before, and an attempt was not bounded by the time that the call had left. A caller with a short deadline had gone by then.

A call is now cancelled and made again when the session turns to another keeper, as it was after any error before; an attempt ends with the call; and a claim is waited for until the caller's deadline at most.

--- a/src/common/keeperSession.ts
+++ b/src/common/keeperSession.ts
@@ -4,7 +4,7 @@
  * failure and follows changes of the leader.
  */
 
-import type { ClientDuplexStream, Metadata, ServiceError } from '@grpc/grpc-js';
+import type { ClientDuplexStream, ClientUnaryCall, Metadata, ServiceError } from '@grpc/grpc-js';
 import { createKeeperDirectory } from '../feed/keeperDirectory.js';
 import { delay } from './delay.js';
 import { KeeperClient } from '../generated/keeper.js';
@@ -81,6 +81,11 @@
 
 type Stream = ClientDuplexStream<MemberMessage, KeeperMessage>;
 type Callback<Response> = (error: ServiceError | null, response: Response) => void;
+type KeeperCall<Response> = (
+  client: KeeperClient,
+  options: { deadline: number },
+  done: Callback<Response>,
+) => ClientUnaryCall;
 
 /** Opens a session for `member`. */
 export function createKeeperSession(host: KeeperSessionHost, member: Member): KeeperSession {
@@ -101,6 +106,7 @@
   let fencingToken = 0;
   let isDraining = false;
   let isLeaving = false;
+  const openCalls = new Set<ClientUnaryCall>();
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_MS);
   const leaseTimer = setInterval(reportLeaseChange, RECONNECT_MS);
   connect();
@@ -119,22 +125,22 @@
     },
     hasLease,
     openClaim: (open, timeoutMs) =>
-      call(timeoutMs, (client, done) =>
-        client.openClaim({ open }, host.metadata, deadlineIn(CALL_TIMEOUT_MS), done),
+      call(timeoutMs, (client, options, done) =>
+        client.openClaim({ open }, host.metadata, options, done),
       ),
     async closeClaim(close, timeoutMs) {
-      await call(timeoutMs, (client, done) =>
-        client.closeClaim({ close }, host.metadata, deadlineIn(CALL_TIMEOUT_MS), done),
+      await call(timeoutMs, (client, options, done) =>
+        client.closeClaim({ close }, host.metadata, options, done),
       );
     },
     async reportCrash(report, timeoutMs) {
-      await call(timeoutMs, (client, done) =>
-        client.reportCrash({ report }, host.metadata, deadlineIn(CALL_TIMEOUT_MS), done),
+      await call(timeoutMs, (client, options, done) =>
+        client.reportCrash({ report }, host.metadata, options, done),
       );
     },
     async changeSolo(request, timeoutMs) {
-      const response = await call<{ outcome: string }>(timeoutMs, (client, done) =>
-        client.changeSolo(request, host.metadata, deadlineIn(CALL_TIMEOUT_MS), done),
+      const response = await call<{ outcome: string }>(timeoutMs, (client, options, done) =>
+        client.changeSolo(request, host.metadata, options, done),
       );
       return response.outcome;
     },
@@ -176,7 +182,7 @@
     const addresses = [...directory.list(isInTouch)];
     const next = (addresses.indexOf(chosenAddress) + 1) % addresses.length;
     chosenAddress = addresses[next] ?? '';
-    keeperAddress = chosenAddress;
+    useKeeper(chosenAddress);
   }
 
   function sendHeartbeat(): void {
@@ -245,10 +251,17 @@
     stream = undefined;
     closed?.cancel();
     if (address === '') chooseNextKeeper();
-    else keeperAddress = address;
+    else useKeeper(address);
     setTimeout(connect, RECONNECT_MS);
   }
 
+  /** Calls that are still open at another keeper are made again at this one. */
+  function useKeeper(address: string): void {
+    if (address === keeperAddress) return;
+    keeperAddress = address;
+    for (const open of openCalls) open.cancel();
+  }
+
   function reportLeaseChange(): void {
     const isHeld = hasLease();
     if (isHeld === reportedLease) return;
@@ -266,19 +279,12 @@
     return client;
   }
 
-  async function call<Response>(
-    timeoutMs: number,
-    run: (client: KeeperClient, done: Callback<Response>) => unknown,
-  ): Promise<Response> {
+  async function call<Response>(timeoutMs: number, run: KeeperCall<Response>): Promise<Response> {
     const deadline = clock.now() + timeoutMs;
     let reason = 'no leader';
     while (clock.now() < deadline) {
-      const client = getClient(keeperAddress);
-      const result = await new Promise<{ error: ServiceError | null; response: Response }>(
-        (resolve) => {
-          run(client, (error, response) => resolve({ error, response }));
-        },
-      );
+      const remainingMs = Math.min(CALL_TIMEOUT_MS, deadline - clock.now());
+      const result = await callOnce(run, deadlineIn(remainingMs));
       if (result.error === null) return result.response;
       reason = result.error.details;
       await delay(RECONNECT_MS);
@@ -286,6 +292,22 @@
     throw new RaisedFailure({ kind: 'unavailable', reason });
   }
 
+  async function callOnce<Response>(
+    run: KeeperCall<Response>,
+    options: { deadline: number },
+  ): Promise<{ error: ServiceError | null; response: Response }> {
+    let open: ClientUnaryCall | undefined;
+    try {
+      return await new Promise((resolve) => {
+        const done: Callback<Response> = (error, response) => resolve({ error, response });
+        open = run(getClient(keeperAddress), options, done);
+        openCalls.add(open);
+      });
+    } finally {
+      if (open !== undefined) openCalls.delete(open);
+    }
+  }
+
   async function leave(): Promise<void> {
     isLeaving = true;
     clearInterval(heartbeatTimer);
--- a/src/entry/claimedCalls.ts
+++ b/src/entry/claimedCalls.ts
@@ -55,7 +55,8 @@
     requestId: request.id,
   };
   while (true) {
-    const response = await tryOpenClaim(host, open);
+    const remainingMs = request.deadline - host.clock.now();
+    const response = await tryOpenClaim(host, open, Math.min(CLAIM_TIMEOUT_MS, remainingMs));
     if (response === undefined) {
       // The claim may have been committed even though the keepers' response was lost.
       void closeClaim(host, claimKey, request.id, 'not_run', undefined);
@@ -94,9 +95,9 @@
   }
 }
 
-async function tryOpenClaim(host: ClaimedCallsHost, open: ClaimOpen) {
+async function tryOpenClaim(host: ClaimedCallsHost, open: ClaimOpen, timeoutMs: number) {
   try {
-    return await host.session.openClaim(open, CLAIM_TIMEOUT_MS);
+    return await host.session.openClaim(open, timeoutMs);
   } catch {
     return undefined;
   }
--- a/test/unit/common/keeperSession.test.ts
+++ b/test/unit/common/keeperSession.test.ts
@@ -8,7 +8,9 @@
 import { createServer, listen } from '../../../src/common/rpc.js';
 import {
   KeeperService,
+  type ClaimOpen,
   type KeeperMessage,
+  type KeeperServer,
   type Member,
   type MemberMessage,
 } from '../../../src/generated/keeper.js';
@@ -18,6 +20,17 @@
 const LEASE_MS = 60_000;
 const PAUSE_MS = 1_300;
 const SETTLE_MS = 1_000;
+/** Time after which a keeper that is silent names the leader. */
+const HINT_MS = 300;
+const LIMIT_MS = 1_000;
+const claim: ClaimOpen = {
+  key: { team: 'sorters', service: 'tickets', key: 'k' },
+  digest: 'd',
+  entryId: 'entry-1',
+  entryIncarnation: 'first',
+  openedAtMs: 0,
+  requestId: 'request',
+};
 const member: Member = {
   id: 'agent-1',
   incarnation: 'first',
@@ -31,6 +44,17 @@
   endpoint: '',
 };
 
+const host = {
+  clock: new SystemClock(),
+  logger: { event() {} },
+  deployment: 'test',
+  metadata: new Metadata(),
+  resolve: (announced: string) => announced,
+  onChange() {},
+  onLease() {},
+  onDrain() {},
+};
+
 describe('a session with the leading keeper', () => {
   let server: Server;
   let session: KeeperSession;
@@ -115,16 +139,6 @@
 });
 
 describe('a session whose keepers are all replaced', () => {
-  const host = {
-    clock: new SystemClock(),
-    logger: { event() {} },
-    deployment: 'test',
-    metadata: new Metadata(),
-    resolve: (announced: string) => announced,
-    onChange() {},
-    onLease() {},
-    onDrain() {},
-  };
   const closeAll: (() => unknown)[] = [];
   after(async () => {
     for (const close of closeAll.reverse()) await close();
@@ -172,3 +186,58 @@
     await waitFor('the session with the successor', () => successor.sessionCount > 0);
   });
 });
+
+describe('a call to the keepers', () => {
+  const closeAll: (() => unknown)[] = [];
+  after(async () => {
+    for (const close of closeAll.reverse()) await close();
+  });
+
+  /** Starts a keeper that handles the opening of claims as told, and names the leader, if any. */
+  async function startKeeper(openClaim: KeeperServer['openClaim'], leader?: string) {
+    const address = `127.0.0.1:${await getFreePort()}`;
+    const started = createServer();
+    const keeper = { address, calls: 0 };
+    started.addService(KeeperService, {
+      session(opened: ServerDuplexStream<MemberMessage, KeeperMessage>) {
+        opened.on('error', () => {});
+        if (leader === undefined) return;
+        const value = { address: leader };
+        setTimeout(() => opened.write({ body: { $case: 'leaderHint', value } }), HINT_MS);
+      },
+      openClaim(...[call, done]: Parameters<KeeperServer['openClaim']>) {
+        keeper.calls += 1;
+        openClaim(call, done);
+      },
+    });
+    await listen(started, { logger: { event() {} }, address });
+    closeAll.push(() => started.forceShutdown());
+    return keeper;
+  }
+
+  function startSession(address: string): KeeperSession {
+    const session = createKeeperSession({ ...host, getSeeds: () => [address] }, member);
+    closeAll.push(() => session.leave());
+    return session;
+  }
+
+  // It waited 1.5 s for the first keeper, by when callers with short deadlines had left.
+  it('is made at the next leader when the keeper before is silent', async () => {
+    const leader = await startKeeper((_call, done) => done(null, { outcome: 'opened' } as never));
+    const silent = await startKeeper(() => {}, leader.address);
+    const session = startSession(silent.address);
+    const startedAt = performance.now();
+    const response = await session.openClaim(claim, LIMIT_MS);
+    assert.equal(response.outcome, 'opened');
+    assert.ok(performance.now() - startedAt < LIMIT_MS);
+    assert.deepEqual([silent.calls, leader.calls], [1, 1]);
+  });
+
+  it('ends when its caller has no time left', async () => {
+    const silent = await startKeeper(() => {});
+    const session = startSession(silent.address);
+    const startedAt = performance.now();
+    await assert.rejects(session.openClaim(claim, HINT_MS));
+    assert.ok(performance.now() - startedAt < LIMIT_MS);
+  });
+});
