Forward tables over a new connection once one is silent

The cause of tables without an acknowledgement, elsewhere: a keeper waited on a connection that had gone silent without a reset, and failed each order that it forwarded over it until keepalive noticed, up to 4 s later, although new connections to the leader worked.

After an attempt without an answer the client for declared tables is replaced, so the second attempt of the same call goes over a new connection. Attempts look up the client and their time for the table that they send; before, those of the leader's first table were kept.

--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -75,6 +75,7 @@
     metadata,
     tryGetReplica: host.tryGetReplica,
     getClient: (address) => peers.getControlClient(address),
+    renewClient: (address) => peers.renewControlClient(address),
   });
   const feedServer = createFeedServer({
     clock,
--- a/src/keeper/peers.ts
+++ b/src/keeper/peers.ts
@@ -21,6 +21,11 @@
   getClient(address: string): KeeperClient;
   /** Returns a client for declaring and reading tables on the keeper at `address`. */
   getControlClient(address: string): ControlClient;
+  /**
+   * Replaces that client and its connection, after a call that got no answer: the connection may
+   * be silent for good, while a new one works.
+   */
+  renewControlClient(address: string): void;
   /** Closes connections that were not used for 10 s, except those to `known` addresses. */
   closeUnused(known: ReadonlySet<string>): void;
   close(): void;
@@ -43,7 +48,7 @@
 ): Peers {
   const connections = new Map<string, PeerConnection>();
 
-  return { send, getClient, getControlClient, closeUnused, close };
+  return { send, getClient, getControlClient, renewControlClient, closeUnused, close };
 
   function getClient(address: string): KeeperClient {
     return getConnection(address).client;
@@ -67,10 +72,9 @@
       return known;
     }
     const client = new KeeperClient(resolve(address), peerCredentials, channelOptions);
-    const control = new ControlClient(resolve(address), peerCredentials, channelOptions);
     const connection: PeerConnection = {
       client,
-      control,
+      control: createControlClient(address),
       stream: undefined,
       hasBackpressure: false,
       retryAt: 0,
@@ -80,6 +84,17 @@
     return connection;
   }
 
+  function createControlClient(address: string): ControlClient {
+    return new ControlClient(resolve(address), peerCredentials, channelOptions);
+  }
+
+  function renewControlClient(address: string): void {
+    const connection = connections.get(address);
+    if (connection === undefined) return;
+    connection.control.close();
+    connection.control = createControlClient(address);
+  }
+
   function openStream(connection: PeerConnection): void {
     if (clock.now() < connection.retryAt) return;
     const stream = connection.client.peer(metadata);
--- a/src/keeper/tableAuthority.ts
+++ b/src/keeper/tableAuthority.ts
@@ -1,6 +1,6 @@
 /** Declares and reads the table on any keeper; followers forward both to the leader. */
 
-import type { Metadata, ServiceError } from '@grpc/grpc-js';
+import { status, type Metadata, type ServiceError } from '@grpc/grpc-js';
 import type { Clock } from '../common/clock.js';
 import { raise, RaisedFailure } from '../common/failure.js';
 import { deadlineIn } from '../common/rpc.js';
@@ -25,6 +25,8 @@
   metadata: Metadata;
   tryGetReplica(): RunningReplica | undefined;
   getClient(address: string): ControlClient;
+  /** Called after a call to that keeper got no answer in time. */
+  renewClient(address: string): void;
 }
 
 /** Declares and reads tables. */
@@ -47,6 +49,12 @@
   readLocally(request: ReadTableRequest): Promise<TableDocument>;
 }
 
+type RemoteCall<Response> = (
+  client: ControlClient,
+  options: { deadline: number },
+  done: (error: ServiceError | null, response: Response) => void,
+) => unknown;
+
 const noTable: TableDocument = { revision: 0, document: Buffer.alloc(0) };
 
 /** Creates the authority. */
@@ -72,13 +80,12 @@
   }
 
   async function declare(table: TableDocument): Promise<DeclareResponse> {
-    const timeoutMs = CALL_TIMEOUT_MS + table.document.length / STORED_BYTES_PER_MS;
     return (
       tryGetSuperseded(table) ??
-      callLeader(host, timeoutMs, async (leader) => {
+      callLeader(host, getTimeoutMs(table), async (leader) => {
         const superseded = tryGetSuperseded(table);
         if (superseded !== undefined) return superseded;
-        return leader.isSelf ? declareLocally(table) : forward(table, leader, timeoutMs);
+        return leader.isSelf ? declareLocally(table) : forward(table, leader);
       })
     );
   }
@@ -89,15 +96,10 @@
     return table.revision <= revision ? { outcome: 'superseded', revision } : undefined;
   }
 
-  function forward(
-    table: TableDocument,
-    { replica }: KnownLeader,
-    timeoutMs: number,
-  ): Promise<DeclareResponse> {
-    const client = host.getClient(replica.address);
+  function forward(table: TableDocument, leader: KnownLeader): Promise<DeclareResponse> {
     return getDeclarations((declared) =>
-      call<DeclareResponse>((done) =>
-        client.declare(declared, host.metadata, deadlineIn(timeoutMs * ATTEMPT_SHARE), done),
+      callRemotely<DeclareResponse>(leader, getTimeoutMs(declared), (client, options, done) =>
+        client.declare(declared, host.metadata, options, done),
       ),
     ).declare(table);
   }
@@ -134,16 +136,36 @@
     );
   }
 
-  async function readRemotely({ replica }: KnownLeader): Promise<TableDocument> {
+  async function readRemotely(leader: KnownLeader): Promise<TableDocument> {
     const { current } = getReplica().state.table;
     const request = { knownRevision: current.revision };
-    const client = host.getClient(replica.address);
-    const table = await call<TableDocument>((done) =>
-      client.readTable(request, host.metadata, deadlineIn(CALL_TIMEOUT_MS * ATTEMPT_SHARE), done),
+    const table = await callRemotely<TableDocument>(
+      leader,
+      CALL_TIMEOUT_MS,
+      (client, options, done) => client.readTable(request, host.metadata, options, done),
     );
     return table.revision === current.revision ? current : table;
   }
 
+  /** Makes one attempt of a call that may take `timeoutMs`. */
+  function callRemotely<Response>(
+    { replica }: KnownLeader,
+    timeoutMs: number,
+    run: RemoteCall<Response>,
+  ): Promise<Response> {
+    const client = host.getClient(replica.address);
+    return new Promise((resolve, reject) => {
+      run(client, deadlineIn(timeoutMs * ATTEMPT_SHARE), (error, response) => {
+        if (error === null) {
+          resolve(response);
+          return;
+        }
+        if (error.code === status.DEADLINE_EXCEEDED) host.renewClient(replica.address);
+        reject(new RaisedFailure({ kind: 'unavailable', reason: error.details }));
+      });
+    });
+  }
+
   async function readLocally(request: ReadTableRequest): Promise<TableDocument> {
     const replica = getReplica();
     if (!(await replica.confirmLeadership())) {
@@ -155,13 +177,6 @@
   }
 }
 
-type Callback<Response> = (error: ServiceError | null, response: Response) => void;
-
-function call<Response>(run: (done: Callback<Response>) => unknown): Promise<Response> {
-  return new Promise((resolve, reject) => {
-    run((error, response) => {
-      if (error === null) resolve(response);
-      else reject(new RaisedFailure({ kind: 'unavailable', reason: error.details }));
-    });
-  });
+function getTimeoutMs({ document }: TableDocument): number {
+  return CALL_TIMEOUT_MS + document.length / STORED_BYTES_PER_MS;
 }
--- a/test/unit/keeper/peers.test.ts
+++ b/test/unit/keeper/peers.test.ts
@@ -58,4 +58,15 @@
     assert.notEqual(peers.getClient(address), client);
     peers.close();
   });
+
+  it('for declared tables is replaced without the other one of that keeper', async () => {
+    const metadata = createPeerMetadata({ deployment: 'test' } as KeeperProcessSettings);
+    const peers = createPeers(new VirtualClock(), metadata, (announced) => announced);
+    const client = peers.getClient(address);
+    const control = peers.getControlClient(address);
+    peers.renewControlClient(address);
+    assert.notEqual(peers.getControlClient(address), control);
+    assert.equal(peers.getClient(address), client);
+    peers.close();
+  });
 });
--- a/test/unit/keeper/tableAuthority.test.ts
+++ b/test/unit/keeper/tableAuthority.test.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { Metadata, type ServiceError } from '@grpc/grpc-js';
+import { Metadata, status, type ServiceError } from '@grpc/grpc-js';
 import { SystemClock } from '../../../src/common/clock.js';
 import { RaisedFailure, toFailure } from '../../../src/common/failure.js';
 import type { ControlClient, DeclareResponse } from '../../../src/generated/control.js';
@@ -22,6 +22,7 @@
 interface OtherKeeper {
   declare(table: TableDocument, answer: Answer<DeclareResponse>): void;
   readTable?(answer: Answer<TableDocument>): void;
+  connectAnew?(): void;
 }
 
 const silentKeeper: OtherKeeper = { declare() {}, readTable() {} };
@@ -38,8 +39,8 @@
   answer(null, { outcome: 'accepted', revision: table.revision });
 }
 
-function createUnavailable(details: string): ServiceError {
-  return Object.assign(new Error(details), { code: 14, details, metadata: new Metadata() });
+function createError(code: status, details: string): ServiceError {
+  return Object.assign(new Error(details), { code, details, metadata: new Metadata() });
 }
 
 /** The authority of keeper `self`, whose replica and peers the test controls. */
@@ -59,6 +60,7 @@
     metadata: new Metadata(),
     tryGetReplica: () => replica as unknown as RunningReplica | undefined,
     getClient: (address) => createClient(others[address]!),
+    renewClient: (address) => others[address]?.connectAnew?.(),
   });
 
   return {
@@ -96,7 +98,7 @@
       done: Answer<DeclareResponse>,
     ) => {
       setTimeout(
-        () => done(createUnavailable('deadline exceeded')),
+        () => done(createError(status.DEADLINE_EXCEEDED, 'deadline exceeded')),
         options.deadline - Date.now(),
       ).unref();
       declare(table, done);
@@ -154,7 +156,7 @@
 
   it('reaches the next leader when the one before has lost the lead', async () => {
     const deposed: OtherKeeper = {
-      declare: (_table, answer) => answer(createUnavailable('notLeader')),
+      declare: (_table, answer) => answer(createError(status.UNAVAILABLE, 'notLeader')),
     };
     const subject = createSubject({ deposed, other: { declare: accept } });
     subject.follow('deposed');
@@ -187,6 +189,23 @@
     await first;
   });
 
+  // Each order at this keeper failed for the 4 s until the silent connection was noticed.
+  it('is passed on over a new connection when the one before is silent', async () => {
+    let isSilent = true;
+    const other: OtherKeeper = {
+      declare: (table, answer) => {
+        if (!isSilent) accept(table, answer);
+      },
+      connectAnew() {
+        isSilent = false;
+      },
+    };
+    const subject = createSubject({ other });
+    subject.follow('other');
+    const declared = checkInTime(subject.authority.declare(createTable(2)));
+    assert.deepEqual(await declared, { outcome: 'accepted', revision: 2 });
+  });
+
   it('is answered while the operator still waits, although nobody leads', async () => {
     const subject = createSubject();
     const declared = checkInTime(subject.authority.declare(createTable(2)));
