Refuse tables and reads at once where no leader was heard for long

Holding a call for the leader costs an operator nearly its whole second at a keeper that is cut off, while another keeper could acknowledge the order; such a keeper answered in a few ms before calls were held.

A keeper that has heard no leader for 2 s, longer than an election takes, answers 503 at once again. One that has just started counts from its start, so calls are still held while a cluster comes back.

--- a/src/keeper/leaderCall.ts
+++ b/src/keeper/leaderCall.ts
@@ -7,6 +7,8 @@
 import type { RunningReplica } from './replica.js';
 
 const POLL_INTERVAL_MS = 20;
+/** Longer than an election takes; a keeper that has heard no leader for so long may be cut off. */
+const LEADERLESS_LIMIT_MS = 2_000;
 
 /** External dependencies of the calls. */
 export interface LeaderCallHost {
@@ -23,9 +25,10 @@
 }
 
 /**
- * Runs `attempt` at the leader. It waits while no leader is known, and tries again when an attempt
+ * Runs `attempt` at the leader. It waits while one may be elected, and tries again when an attempt
  * finds the leader unavailable or another replica takes the lead meanwhile, so `attempt` must be
- * idempotent. Raises the last failure after `timeoutMs`, and at once any failure of another kind.
+ * idempotent. Raises the last failure after `timeoutMs`, and at once any failure of another kind or
+ * `unavailable` if no leader was heard for long: another keeper may know one.
  */
 export async function callLeader<Response>(
   host: LeaderCallHost,
@@ -38,6 +41,7 @@
     const leader = tryGetLeader(host);
     if (leader === undefined) {
       failure = describeMissingLeader(host);
+      if (isLeaderless(host)) break;
     } else {
       try {
         return await runWhileLeading(host, leader, endAt, attempt);
@@ -58,6 +62,11 @@
   return { term: raft.term, isSelf: raft.role === 'leader', replica: raft.leader };
 }
 
+function isLeaderless({ clock, tryGetReplica }: LeaderCallHost): boolean {
+  const silentMs = tryGetReplica()?.raft.getTimeSinceLeaderMs(clock.now()) ?? 0;
+  return silentMs > LEADERLESS_LIMIT_MS;
+}
+
 function describeMissingLeader(host: LeaderCallHost): Failure {
   const hasCluster = host.tryGetReplica() !== undefined;
   return { kind: 'unavailable', reason: hasCluster ? 'no leader' : 'no cluster yet' };
--- a/test/unit/keeper/tableAuthority.test.ts
+++ b/test/unit/keeper/tableAuthority.test.ts
@@ -13,6 +13,8 @@
 
 /** Time until a leader is known. */
 const ELECTION_MS = 300;
+/** Time without a leader after which a keeper is rather cut off than in an election. */
+const CUT_OFF_MS = 3_000;
 /** Time after which an operator asks another keeper. */
 const OPERATOR_TIMEOUT_MS = 1_000;
 
@@ -46,7 +48,13 @@
 /** The authority of keeper `self`, whose replica and peers the test controls. */
 function createSubject(others: Record<string, OtherKeeper> = {}) {
   const self = createReplica('self');
-  const raft = { role: 'follower', term: 1, leader: undefined as Replica | undefined };
+  let leaderHeardAt = performance.now();
+  const raft = {
+    role: 'follower',
+    term: 1,
+    leader: undefined as Replica | undefined,
+    getTimeSinceLeaderMs: (now: number) => now - leaderHeardAt,
+  };
   const table = { current: createTable(0) };
   const fake = {
     raft,
@@ -82,9 +90,10 @@
     failProposals(error: Error) {
       fake.propose = () => Promise.reject(error);
     },
-    loseLeader() {
+    loseLeader(silentMs = 0) {
       raft.role = 'preCandidate';
       raft.leader = undefined;
+      leaderHeardAt = performance.now() - silentMs;
     },
   };
 }
@@ -212,6 +221,15 @@
     await assert.rejects(declared, (caught) => toFailure(caught).kind === 'unavailable');
   });
 
+  // Operators waited at keepers that were cut off, although others could have acknowledged it.
+  it('is refused at once by a keeper that has heard no leader for long', async () => {
+    const subject = createSubject();
+    subject.loseLeader(CUT_OFF_MS);
+    const declared = subject.authority.declare(createTable(2)).catch(toFailure);
+    const outcome = await Promise.race([declared, delay(ELECTION_MS)]);
+    assert.deepEqual(outcome, { kind: 'unavailable', reason: 'no leader' });
+  });
+
   it('is acknowledged without a leader when a later one is in force', async () => {
     const subject = createSubject();
     subject.table.current = createTable(3);
