Use one source of seeded random numbers in tests

The same generator stood in seven tests and once more, with numbers without a name, in the new test of orders.

--- a/test/faults/layoutRun.ts
+++ b/test/faults/layoutRun.ts
@@ -3,8 +3,6 @@
  * overlapping, while callers, an operator and endpoints work and check what they see.
  */
 
-import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { request } from 'undici';
 import { delay } from '../fixtures/deployment.js';
 import { createLayoutCaller, type CallKind } from '../fixtures/layoutCalls.js';
@@ -17,9 +15,9 @@
 } from '../fixtures/layoutFaults.js';
 import { createLayoutOperator, type OperatorPlan } from '../fixtures/layoutOperator.js';
 import { createPlatformLayout, type PlatformLayout } from '../fixtures/platformLayout.js';
+import { createRandom } from '../fixtures/random.js';
 import { createVersionWatch } from '../fixtures/versionWatch.js';
 
-const RANDOM_MAX = 999_999;
 const START_SPREAD_MS = 300;
 const READ_INTERVAL_MS = 150;
 const REQUEST_TIMEOUT_MS = 1_000;
@@ -223,11 +221,6 @@
   }
 }
 
-function createRandom(seed: number): () => number {
-  const generator = xoroshiro128plus(seed);
-  return () => uniformInt(generator, 0, RANDOM_MAX) / (RANDOM_MAX + 1);
-}
-
 async function startAll(layout: PlatformLayout, random: () => number): Promise<void> {
   const started = layout.machines.map(async (machine) => {
     await delay(random() * START_SPREAD_MS);
--- a/test/faults/orders.test.ts
+++ b/test/faults/orders.test.ts
@@ -2,14 +2,13 @@
 
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
-import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { delay, waitFor } from '../fixtures/deployment.js';
 import {
   createPlatformLayout,
   type LayoutMachine,
   type PlatformLayout,
 } from '../fixtures/platformLayout.js';
+import { createRandom } from '../fixtures/random.js';
 import { declareUntilAcknowledged, type Order } from '../fixtures/retryingOperator.js';
 
 const NETWORK = 19;
@@ -18,8 +17,8 @@
 const ROUNDS = 4;
 const ORDERS = 8;
 const ORDER_INTERVAL_MS = 150;
-/** Time for which a leader that is lost stays so. */
-const LOST_MS = 2_500;
+/** Time for which a keeper that is back catches up before the next round. */
+const CATCH_UP_MS = 2_500;
 /** A keeper that answers 503 sooner has not waited for the leader that is about to be elected. */
 const MIN_REFUSAL_MS = 800;
 /** Longest time that the platform allows an acknowledgement. */
@@ -28,7 +27,7 @@
 describe('orders that are sent while the leader is lost', () => {
   let layout: PlatformLayout;
   let version: number;
-  const generator = xoroshiro128plus(SEED);
+  const random = createRandom(SEED);
 
   beforeEach(async () => {
     layout = await createPlatformLayout({ keeper: 3, gateway: 0 }, NETWORK);
@@ -39,10 +38,6 @@
 
   afterEach(() => layout.stop());
 
-  function random(): number {
-    return uniformInt(generator, 0, 999_999) / 1_000_000;
-  }
-
   function order(): Promise<Order> {
     version += 1;
     return declareUntilAcknowledged(version, layout.controlAddresses, random);
@@ -89,7 +84,7 @@
       test.diagnostic(describeOrders(orders));
       check(orders, leader);
       layout.start(leader, false);
-      await delay(LOST_MS);
+      await delay(CATCH_UP_MS);
     }
   });
 
@@ -102,7 +97,7 @@
       test.diagnostic(describeOrders(orders));
       check(orders, leader);
       leader.process!.signal('SIGCONT');
-      await delay(LOST_MS);
+      await delay(CATCH_UP_MS);
     }
   });
 });
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -4,8 +4,6 @@
  * checks what callers, operator and endpoints observe.
  */
 
-import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { delay } from '../fixtures/deployment.js';
 import {
   createGatewayDeployment,
@@ -13,6 +11,7 @@
   type GatewayDeployment,
 } from '../fixtures/gatewayDeployment.js';
 import { oddHeartbeats } from '../fixtures/oddHeartbeats.js';
+import { createRandom } from '../fixtures/random.js';
 import { createFaults } from './faults.js';
 
 const CALLERS = 8;
@@ -22,7 +21,6 @@
 const MAX_FAULT_PAUSE_MS = 1_200;
 /** Time after the last fault within which all gateways must serve the acknowledged revision. */
 const RECOVERY_LIMIT_MS = 12_000;
-const RANDOM_MAX = 999_999;
 const WORK_MS = 40;
 /** Part of prompts under which each endpoint crashes. */
 const CRASHING_PART = '48720f35';
@@ -53,8 +51,7 @@
 
 /** Injects faults for `seconds` seconds, then checks the recovery and the requests that ran. */
 export async function runSoak(seed: number, seconds: number): Promise<SoakOutcome> {
-  const generator = xoroshiro128plus(seed);
-  const random = (): number => uniformInt(generator, 0, RANDOM_MAX) / (RANDOM_MAX + 1);
+  const random = createRandom(seed);
   const observed: Observations = {
     refusedIds: new Set(),
     onceIds: new Set(),
--- a/test/unit/gateway/placement.test.ts
+++ b/test/unit/gateway/placement.test.ts
@@ -2,9 +2,8 @@
 
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { tryChooseEndpoint } from '../../../src/gateway/placement.js';
+import { createRandom } from '../../fixtures/random.js';
 
 const ENGINES = 8;
 const SLOTS = 10;
@@ -16,7 +15,6 @@
 const REQUESTS = 4_000;
 const INTERVAL_MS = 8;
 const LONG_SHARE = 0.02;
-const RANDOM_MAX = 999_999;
 
 interface Engine {
   /** When it will have processed all prompts assigned to it, in milliseconds. */
@@ -25,8 +23,7 @@
 
 /** Simulates a mixed load and returns the share of short requests that miss their objective. */
 function simulateLateShare(seed: number, seesUnread: boolean): number {
-  const generator = xoroshiro128plus(seed);
-  const random = () => uniformInt(generator, 0, RANDOM_MAX) / (RANDOM_MAX + 1);
+  const random = createRandom(seed);
   const engines: Engine[] = Array.from({ length: ENGINES }, () => ({ busyUntil: 0 }));
   let late = 0;
   let short = 0;
--- a/test/unit/gateway/quotas.test.ts
+++ b/test/unit/gateway/quotas.test.ts
@@ -2,14 +2,12 @@
 
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { createQuotas, type Quotas } from '../../../src/gateway/quotas.js';
 import type { Team } from '../../../src/routing/types.js';
+import { createRandom } from '../../fixtures/random.js';
 
 const RATE = 340_000;
 const SLACK = 140_000;
-const RANDOM_MAX = 999_999;
 const WINDOW_MS = 8_000;
 const STEP_MS = 10;
 /** Interval between two reports of a gateway. */
@@ -60,8 +58,7 @@
   restartAt,
 }: Scenario): Outcome {
   let time = 0;
-  const generator = xoroshiro128plus(seed);
-  const random = (): number => uniformInt(generator, 0, RANDOM_MAX) / (RANDOM_MAX + 1);
+  const random = createRandom(seed);
   const gateways = Array.from({ length: count }, createGateway);
   const steps: number[] = [];
   const reports: { at: number; deliver(): void }[] = [];
--- a/test/unit/gateway/requestRateLimit.test.ts
+++ b/test/unit/gateway/requestRateLimit.test.ts
@@ -2,17 +2,15 @@
 
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
   createRequestRateLimit,
   type PeerRate,
   type RequestRateLimit,
 } from '../../../src/gateway/requestRateLimit.js';
 import { countMostInWindow } from '../../fixtures/arrivals.js';
+import { createRandom } from '../../fixtures/random.js';
 
 const SEEDS = [1, 2, 3];
-const RANDOM_MAX = 999_999;
 const STEP_MS = 10;
 const REPORT_INTERVAL_MS = 100;
 const REPORT_LAG_MS = 200;
@@ -41,8 +39,7 @@
 
 /** Returns the times at which the endpoint receives requests from gateways that always want more. */
 function simulate({ gateways, perSecond, seed, busy = gateways, restarts = false }: Scenario) {
-  const generator = xoroshiro128plus(seed);
-  const random = (): number => uniformInt(generator, 0, RANDOM_MAX) / (RANDOM_MAX + 1);
+  const random = createRandom(seed);
   const reports: Report[] = [];
   const arrivals: number[] = [];
   const counts = { responsive: gateways, known: gateways };
--- a/test/unit/gateway/scheduler.test.ts
+++ b/test/unit/gateway/scheduler.test.ts
@@ -2,18 +2,16 @@
 
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { Endpoint } from '../../../src/gateway/endpointTracker.js';
 import { createScheduler, type PlacementRequest } from '../../../src/gateway/scheduler.js';
 import { createTestEndpoint } from '../../fixtures/gatewayEndpoint.js';
 import { createTestTracker } from '../../fixtures/gatewayTracker.js';
+import { createRandom } from '../../fixtures/random.js';
 
 const POOL = 'engines';
 const SLOTS = 10;
 const STEP_MS = 5;
 const REEVALUATION_INTERVAL_MS = 50;
-const RANDOM_MAX = 999_999;
 
 interface RequestClass {
   name: string;
@@ -64,8 +62,7 @@
   retriesOnce = false,
 }: Scenario) {
   let time = 0;
-  const generator = xoroshiro128plus(seed);
-  const random = (): number => uniformInt(generator, 0, RANDOM_MAX) / (RANDOM_MAX + 1);
+  const random = createRandom(seed);
   const endpoints = engines.map((_slowness, index) => createEndpoint(index));
   const outcomes = new Map(classes.map(({ name }) => [name, createOutcome()]));
   const ends: { at: number; endpoint: Endpoint }[] = [];
--- a/test/unit/gateway/slotLimiter.test.ts
+++ b/test/unit/gateway/slotLimiter.test.ts
@@ -2,16 +2,14 @@
 
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { createSlotLimiter } from '../../../src/gateway/slotLimiter.js';
+import { createRandom } from '../../fixtures/random.js';
 
 const SLOTS = 10;
 const STEP_MS = 10;
 const REPORT_LAG_MS = 200;
 const MIN_WORK_MS = 300;
 const WORK_SPREAD_MS = 1_400;
-const RANDOM_MAX = 999_999;
 
 interface Scenario {
   gateways: number;
@@ -23,8 +21,7 @@
 
 /** Simulates one initially empty engine; returns the number of its requests at each step. */
 function simulateOccupancy({ gateways, busyGateways, durationMs, seed }: Scenario): number[] {
-  const generator = xoroshiro128plus(seed);
-  const random = () => uniformInt(generator, 0, RANDOM_MAX) / (RANDOM_MAX + 1);
+  const random = createRandom(seed);
   let time = 0;
   const limiters = Array.from({ length: gateways }, () => createSlotLimiter(() => time, random));
   const ends: number[][] = Array.from({ length: gateways }, () => []);
