--- a/src/keeper/leaderCall.ts
+++ b/src/keeper/leaderCall.ts
@@ -36,7 +36,7 @@
   attempt: (leader: KnownLeader) => Promise<Response>,
 ): Promise<Response> {
   const endAt = host.clock.now() + timeoutMs;
-  let failure: Failure | undefined;
+  let failure = describeMissingLeader(host);
   while (host.clock.now() < endAt) {
     const leader = tryGetLeader(host);
     if (leader === undefined) {
@@ -52,7 +52,7 @@
     }
     await delay(POLL_INTERVAL_MS);
   }
-  return raise(failure ?? describeMissingLeader(host));
+  return raise(failure);
 }
 
 /** Returns the leader that this keeper follows, or itself if it leads. */
