Keep all lines of a request's head

Cause: the HTTP server of Node.js keeps the first thousand header lines and drops the others without an error, while its parser reads the body that they announce. A request with 1,900 short lines before its length or encoding reached the endpoint without its body.

Change: all servers are created by createHttpServer, which keeps every line; the limit on the bytes of a head still holds.

Result: longHeads.test.ts failed in 2 of 3 cases before and passes.

--- a/src/common/httpServer.ts
+++ b/src/common/httpServer.ts
@@ -5,6 +5,7 @@
   type IncomingMessage,
   type RequestListener,
   type Server,
+  type ServerOptions,
   type ServerResponse,
 } from 'node:http';
 import type { Socket } from 'node:net';
@@ -22,6 +23,16 @@
 const ARRIVAL_TIMEOUT_MS = 3_000;
 const DEFAULT_KEEP_ALIVE_MS = 5_000;
 
+/**
+ * Creates a server that passes on all lines of a head. By default Node.js drops those beyond the
+ * first thousand without an error, although its parser still reads the body that they announce.
+ */
+export function createHttpServer(options: ServerOptions = {}): Server {
+  const server = createServer(options);
+  server.maxHeadersCount = 0;
+  return server;
+}
+
 /**
  * Reads the whole body. Raises `usage` if it is larger than `maxBytes` or incomplete. Nothing more is
  * read until `onRead`, which gets the number of bytes read so far, has resolved.
@@ -65,7 +76,7 @@
   listener = app.handler as RequestListener,
 ): Promise<Server> {
   const { host, port } = splitAddress(target.address);
-  const server = app.server ?? createServer();
+  const server = (app.server as Server | undefined) ?? createHttpServer();
   server.on('request', listener);
   await retryListening(target, () => tryListen(server, host, port));
   // Errors while it listens concern single connections that could not be accepted.
--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -1,11 +1,11 @@
 /** HTTP server for callers: parses and admits requests and starts a handler for each. */
 
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import polka from 'polka';
 import type { Clock } from '../common/clock.js';
 import { awaitTurns } from '../common/eventLoop.js';
-import { listenOn } from '../common/httpServer.js';
+import { createHttpServer, listenOn } from '../common/httpServer.js';
 import { keepUnsentResponses } from '../common/idleConnections.js';
 import type { Logger } from '../common/logging.js';
 import type { CallerLimits, Route } from '../routing/types.js';
@@ -70,7 +70,7 @@
   /** Connections that are closed after a response that has begun. */
   const closingSockets = new WeakSet<Socket>();
   let openCount = 0;
-  const server = createServer({
+  const server = createHttpServer({
     maxHeaderSize: MAX_HEADER_BYTES,
     connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     noDelay: true,
