Decide rollouts from the outcomes of both versions

It compares failures and slow responses of the new version with those of the old one, over all routes and on each, since the order and lately, by the probability that a good version shows as many.

--- /dev/null
+++ b/src/keeper/rolloutEvidence.ts
@@ -0,0 +1,197 @@
+/** What the outcomes of a rollout's versions show: whether the new version is worse beyond chance. */
+
+/** Outcomes of one version on one route, summed over all gateways. */
+export interface VersionCounts {
+  version: string;
+  route: string;
+  begun: number;
+  completed: number;
+  failed: number;
+  slow: number;
+  totalMs: number;
+  work: number;
+}
+
+/** Endpoints of a version that take requests. */
+export interface ReadyEndpoints {
+  endpoints: number;
+  slots: number;
+}
+
+/** What is known of the versions of a pool. */
+export interface Evidence {
+  toVersion: string;
+  /** Counts since the order, then those of ever shorter recent times. */
+  windows: readonly (readonly VersionCounts[])[];
+  ready: ReadonlyMap<string, ReadyEndpoints>;
+  /** Most failures of the new version at about the same moment. */
+  failureBurst: number;
+}
+
+/** Sums of the new version and of all others, over all routes or of one. */
+export interface Comparison {
+  route: string | undefined;
+  old: Counts;
+  next: Counts;
+}
+
+export type Counts = Omit<VersionCounts, 'version' | 'route'>;
+
+/** Fewer bad responses than this are no evidence, however improbable. */
+const MIN_BAD = 4;
+/** Shares of bad responses that any version may have: single faults of machines and links. */
+const USUAL_FAILED = 0.01;
+const USUAL_SLOW = 0.04;
+/** A share of bad responses that exceeds that of the old version by less is no difference. */
+const TOLERATED_RATIO = 1.5;
+/** Weight of the assumption that one response in this many is bad, before any is known. */
+const PRIOR_RESPONSES = 20;
+/** A recent time with fewer responses of the old version says nothing about it. */
+const MIN_RECENT_OLD = 20;
+/**
+ * Requests that run at one endpoint fail together when it ends, which is no fault of its version. So
+ * many failures at one moment are left out.
+ */
+const MIN_CRASH_FAILURES = 3;
+const MAX_CRASH_FAILURES = 12;
+/** Share of the responses of one slow endpoint, relative to an equal share. */
+const SLOW_ENDPOINT_WEIGHT = 1;
+const MAX_SLOW_ENDPOINT_SHARE = 0.3;
+/**
+ * Ratio of mean times from which on endpoints' own speeds do not explain it: they differ by up to
+ * 5 times, and other work on their VMs adds 22% on average.
+ */
+const MAX_SPEED_RATIO = 7;
+const MIN_MEAN_RESPONSES = 20;
+
+const noCounts: Counts = { begun: 0, completed: 0, failed: 0, slow: 0, totalMs: 0, work: 0 };
+
+/**
+ * Returns why the new version is bad, or undefined if what was seen has a probability of more than
+ * `chance` for a good one.
+ */
+export function tryFindFault(evidence: Evidence, chance: number): string | undefined {
+  const [total = [], ...recent] = evidence.windows;
+  const sinceOrder = compare(total, evidence.toVersion);
+  for (const comparison of sinceOrder) {
+    const fault =
+      tryFindBadShare(evidence, comparison, comparison.old, chance) ?? tryFindSlowMean(comparison);
+    if (fault !== undefined) return fault;
+  }
+  for (const window of recent) {
+    for (const comparison of compare(window, evidence.toVersion)) {
+      const old = sinceOrder.find(({ route }) => route === comparison.route)?.old ?? noCounts;
+      const fault = tryFindBadShare(evidence, comparison, old, chance);
+      if (fault !== undefined) return fault;
+    }
+  }
+  return undefined;
+}
+
+/** Returns the sums over all routes, and those of each route. */
+export function compare(window: readonly VersionCounts[], toVersion: string): Comparison[] {
+  const all: Comparison = { route: undefined, old: noCounts, next: noCounts };
+  const byRoute = new Map<string, Comparison>();
+  for (const counts of window) {
+    const { route } = counts;
+    const known = byRoute.get(route) ?? { route, old: noCounts, next: noCounts };
+    byRoute.set(route, known);
+    for (const comparison of [all, known]) {
+      if (counts.version === toVersion) comparison.next = add(comparison.next, counts);
+      else comparison.old = add(comparison.old, counts);
+    }
+  }
+  return [all, ...byRoute.values()];
+}
+
+export function countAnswered({ completed, failed }: Counts): number {
+  return completed + failed;
+}
+
+function add(left: Counts, right: Counts): Counts {
+  return {
+    begun: left.begun + right.begun,
+    completed: left.completed + right.completed,
+    failed: left.failed + right.failed,
+    slow: left.slow + right.slow,
+    totalMs: left.totalMs + right.totalMs,
+    work: left.work + right.work,
+  };
+}
+
+/** `oldSinceOrder` are the old version's counts on the same route since the order. */
+function tryFindBadShare(
+  { ready, toVersion, failureBurst }: Evidence,
+  { route, old, next }: Comparison,
+  oldSinceOrder: Counts,
+  chance: number,
+): string | undefined {
+  const endpoints = ready.get(toVersion);
+  const usualFailed = getUsualShare(USUAL_FAILED, old, oldSinceOrder, 'failed', countAnswered);
+  const isCrash = failureBurst >= MIN_CRASH_FAILURES;
+  const failed = next.failed - (isCrash ? Math.min(failureBurst, MAX_CRASH_FAILURES) : 0);
+  const answered = countAnswered(next);
+  if (isImprobable(failed, answered, usualFailed, chance)) {
+    return describe('failed', next.failed, answered, usualFailed, route);
+  }
+  // One endpoint that is slow by itself makes its share of the responses slow.
+  const oneEndpoint = SLOW_ENDPOINT_WEIGHT / Math.max(1, endpoints?.endpoints ?? 1);
+  const least = Math.max(USUAL_SLOW, Math.min(oneEndpoint, MAX_SLOW_ENDPOINT_SHARE));
+  const usualSlow = getUsualShare(least, old, oldSinceOrder, 'slow', ({ completed }) => completed);
+  return isImprobable(next.slow, next.completed, usualSlow, chance)
+    ? describe('slow', next.slow, next.completed, usualSlow, route)
+    : undefined;
+}
+
+function getUsualShare(
+  least: number,
+  recent: Counts,
+  sinceOrder: Counts,
+  kind: 'failed' | 'slow',
+  count: (counts: Counts) => number,
+): number {
+  const shares = [sinceOrder, ...(count(recent) >= MIN_RECENT_OLD ? [recent] : [])].map(
+    (counts) => (counts[kind] + 1) / (count(counts) + PRIOR_RESPONSES),
+  );
+  return Math.max(least, Math.min(1, TOLERATED_RATIO * Math.max(...shares)));
+}
+
+function tryFindSlowMean({ route, old, next }: Comparison): string | undefined {
+  // Routes differ in what one unit of work takes.
+  if (route === undefined) return undefined;
+  if (Math.min(old.completed, next.completed) < MIN_MEAN_RESPONSES) return undefined;
+  const ratio = getMsPerWork(next) / getMsPerWork(old);
+  return ratio > MAX_SPEED_RATIO
+    ? `${ratio.toFixed(1)} times as long for the same work on ${route}`
+    : undefined;
+}
+
+function getMsPerWork({ totalMs, work, completed }: Counts): number {
+  return Math.max(totalMs, 1) / (work > 0 ? work : completed);
+}
+
+function describe(
+  kind: string,
+  bad: number,
+  count: number,
+  usual: number,
+  route: string | undefined,
+): string {
+  const where = route === undefined ? '' : ` on ${route}`;
+  return `${bad} of ${count} ${kind}${where}, usual share ${usual.toFixed(3)}`;
+}
+
+/** Whether `bad` or more of `count` responses are bad with a probability below `chance`. */
+function isImprobable(bad: number, count: number, share: number, chance: number): boolean {
+  if (bad < MIN_BAD || bad <= share * count || share >= 1) return false;
+  // The terms of the binomial distribution from `bad` on, each from the one before.
+  let logTerm = bad * Math.log(share) + (count - bad) * Math.log1p(-share);
+  for (let index = 1; index <= bad; index += 1) logTerm += Math.log((count - bad + index) / index);
+  let term = Math.exp(logTerm);
+  let sum = term;
+  for (let hits = bad + 1; hits <= count && term > sum * Number.EPSILON; hits += 1) {
+    term *= ((count - hits + 1) / hits) * (share / (1 - share));
+    sum += term;
+  }
+  return sum < chance;
+}
