Begin, keep, judge and publish rollouts at keepers

Orders to move a pool to another version are kept in the replicated state and begun and read at any keeper, which passes them on to the leader as tables are. All keepers collect outcomes while a rollout is in progress, the leader decides, and the feed carries the records when they change and every 500 ms from keepers that are current. The call of another keeper is shared with the table's authority. Tests of the feed server state that there are no rollouts.

--- a/src/common/failure.ts
+++ b/src/common/failure.ts
@@ -28,6 +28,9 @@
   | { kind: 'unreachable'; address: string; reason: string }
   | { kind: 'storeCorrupt'; reason: string }
   | { kind: 'invalidTable'; problem: TableProblem }
+  | { kind: 'rolloutInProgress'; pool: string }
+  | { kind: 'rolloutRefused'; reason: string }
+  | { kind: 'noRollout'; pool: string }
   | { kind: 'unexpected'; reason: string };
 
 /** Error that carries a `Failure` to the code that reports it. */
@@ -77,6 +80,12 @@
       return failure.message;
     case 'invalidTable':
       return describeTableProblem(failure.problem);
+    case 'rolloutInProgress':
+      return `another rollout of ${failure.pool} is in progress`;
+    case 'rolloutRefused':
+      return failure.reason;
+    case 'noRollout':
+      return `${failure.pool} had no rollout`;
     case 'unavailable':
     case 'storeCorrupt':
     case 'unexpected':
--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -19,6 +19,8 @@
 import { createControlService } from '../keeper/controlService.js';
 import type { Peers } from '../keeper/peers.js';
 import type { RunningReplica } from '../keeper/replica.js';
+import { createRolloutAuthority } from '../keeper/rolloutAuthority.js';
+import { createRolloutController } from '../keeper/rolloutController.js';
 import { createTableAuthority } from '../keeper/tableAuthority.js';
 import { createEndpointRegistry, type MergeOutcome } from '../registry/registry.js';
 import { createStreamOrigins } from '../streams/streamOrigins.js';
@@ -48,7 +50,7 @@
 /** A running control interface. */
 export interface KeeperControl {
   service: ControlServer;
-  /** Sends the table to the feed's subscribers, if its revision has changed. */
+  /** Sends the table and the rollouts to the feed's subscribers, if they have changed. */
   publish(): void;
   close(): Promise<void>;
 }
@@ -70,12 +72,26 @@
     origins: streamOrigins,
     path: join(settings.keeper.dataFolder, STREAM_ORIGIN_FILE),
   });
-  const authority = createTableAuthority({
+  const forwarding = {
     clock,
     metadata,
     tryGetReplica: host.tryGetReplica,
-    getClient: (address) => peers.getControlClient(address),
-    renewClient: (address) => peers.renewControlClient(address),
+    getClient: peers.getControlClient,
+    renewClient: peers.renewControlClient,
+  };
+  const authority = createTableAuthority(forwarding);
+  const rolloutSettings = settings.keeper.rollout;
+  const isEnabled = rolloutSettings !== undefined;
+  const rollouts = createRolloutAuthority({ ...forwarding, isEnabled });
+  const rolloutController = createRolloutController({
+    clock,
+    logger,
+    metrics: host.metrics,
+    settings: rolloutSettings,
+    tryGetReplica: host.tryGetReplica,
+    listReports: () => feedServer.listReports(),
+    listAnnouncements: () => registry.list(),
+    onChange: () => feedServer.publishRollouts(),
   });
   const feedServer = createFeedServer({
     clock,
@@ -87,6 +103,7 @@
     getTable: () => authority.current,
     readConfirmedTable,
     listKeepers: () => listKeepers(host.tryGetReplica()),
+    listRollouts: () => rolloutController.list(),
     isCurrent: () => isCurrent(host.tryGetReplica(), clock.now()),
   });
   // Keepers subscribe to each other's feeds, so that an endpoint's announcement to any keeper
@@ -119,6 +136,7 @@
           logger,
           listen: controlListen,
           authority,
+          rollouts,
           bodies: host.bodies,
           announce,
           listAnnouncements: (endpointId) => registry.listOf(endpointId),
@@ -131,6 +149,7 @@
       clock,
       logger,
       authority,
+      rollouts,
       feed: feedServer,
       streamOrigins,
     }),
@@ -140,6 +159,7 @@
       await controlApi?.close();
       crashRecordStore.close();
       streamOriginStore.close();
+      rolloutController.close();
       feedClient.close();
       feedServer.close();
     },
@@ -151,6 +171,7 @@
   }
 
   function publish(): void {
+    rolloutController.onApplied();
     const { revision } = authority.current;
     if (revision === publishedRevision) return;
     publishedRevision = revision;
--- a/src/daemon/types.ts
+++ b/src/daemon/types.ts
@@ -6,6 +6,7 @@
 import type { ProcessSettings } from '../common/settings.js';
 import type { Announcement } from '../generated/control.js';
 import type { Dialect } from '../gateway/types.js';
+import type { RolloutAuthority } from '../keeper/rolloutAuthority.js';
 import type { TableAuthority } from '../keeper/tableAuthority.js';
 import type { MergeOutcome } from '../registry/registry.js';
 
@@ -27,6 +28,7 @@
   /** host:port. */
   listen: string;
   authority: TableAuthority;
+  rollouts: Pick<RolloutAuthority, 'begin' | 'read'>;
   /** Admits the bodies of all operators' calls. */
   bodies: BodyAdmission;
   /** Registers an announcement and forwards it to all gateways, unless it is not valid. */
--- a/src/feed/feedServer.ts
+++ b/src/feed/feedServer.ts
@@ -11,7 +11,7 @@
 import { createRunningTime } from '../common/runningTime.js';
 import type { CrashRecordCursor, CrashRecords } from '../crashes/crashRecords.js';
 import type { Announcement, FeedMessage, FeedUpdate, GatewayReport } from '../generated/control.js';
-import type { TableDocument } from '../generated/keeper.js';
+import type { Rollout, TableDocument } from '../generated/keeper.js';
 import type { EndpointRegistry, MergeOutcome } from '../registry/registry.js';
 import type { StreamOrigins } from '../streams/streamOrigins.js';
 import type { KeeperList } from './keeperDirectory.js';
@@ -20,6 +20,11 @@
 
 /** Interval of the updates that forward reports and show subscribers that this keeper is alive. */
 const PUSH_INTERVAL_MS = 100;
+/**
+ * Interval at which rollouts in progress are sent again: a gateway that hears nothing of one for half
+ * the time in which it must be reverted sends nothing more to the new version.
+ */
+const ROLLOUT_INTERVAL_MS = 500;
 /** Age after which a gateway's report is deleted. */
 const REPORT_RETENTION_MS = 3_000;
 /**
@@ -44,6 +49,8 @@
   readConfirmedTable(): Promise<TableDocument | undefined>;
   /** All members of the keepers' cluster. */
   listKeepers(): KeeperList;
+  /** The latest rollout of each pool as far as this keeper knows, with the ages of the moment. */
+  listRollouts(): Rollout[];
   /** Whether a quorum has confirmed lately that this keeper has applied all that was committed. */
   isCurrent(): boolean;
 }
@@ -54,6 +61,10 @@
   serve(stream: FeedStream): void;
   /** Announces the newest table to all subscribers. */
   publishTable(): void;
+  /** Sends the rollouts to all subscribers that want tables. */
+  publishRollouts(): void;
+  /** Latest reports of the gateways that send any. */
+  listReports(): GatewayReport[];
   /** Merges an announcement into the registry; sends it to all subscribers if anything changed. */
   announce(announcement: Announcement): MergeOutcome;
   close(): void;
@@ -67,6 +78,8 @@
   changedEndpoints: Set<string>;
   /** Whether reports are due, which subscribers get at intervals. */
   isPushDue: boolean;
+  /** Whether rollouts are due: at first, when one has changed, and at intervals. */
+  isRolloutDue: boolean;
   /** Confirmed since the last update. */
   confirmedRevision: number | undefined;
   wantsReports: boolean;
@@ -91,6 +104,7 @@
   const reports = new Map<string, StoredReport>();
   const runningTime = createRunningTime(clock, 2 * PUSH_INTERVAL_MS);
   let isConfirming = false;
+  let rolloutsSentAt = clock.now();
   const tables = createTableDelivery<Subscriber>({
     clock,
     getTable: host.getTable,
@@ -99,7 +113,14 @@
   });
   const pushTimer = setInterval(pushUpdates, PUSH_INTERVAL_MS);
 
-  return { serve, publishTable, announce, close };
+  return {
+    serve,
+    publishTable,
+    publishRollouts,
+    listReports: () => [...reports.values()].map(({ report }) => report),
+    announce,
+    close,
+  };
 
   function serve(stream: FeedStream): void {
     const subscriber: Subscriber = {
@@ -112,6 +133,7 @@
       }),
       changedEndpoints: new Set(),
       isPushDue: false,
+      isRolloutDue: true,
       confirmedRevision: undefined,
       wantsReports: false,
       wantsTables: true,
@@ -196,6 +218,20 @@
     void sendConfirmedRevision();
   }
 
+  function publishRollouts(): void {
+    rolloutsSentAt = clock.now();
+    for (const subscriber of subscribers) {
+      subscriber.isRolloutDue = true;
+      subscriber.updates.flush();
+    }
+  }
+
+  /** One that lags or is cut off must not make subscribers believe that its rollouts are current. */
+  function refreshRollouts(): void {
+    if (clock.now() - rolloutsSentAt < ROLLOUT_INTERVAL_MS || !host.isCurrent()) return;
+    if (host.listRollouts().some(({ state }) => state === 'inProgress')) publishRollouts();
+  }
+
   function announce(announcement: Announcement): MergeOutcome {
     const outcome = registry.merge(announcement);
     if (outcome.kind === 'changed') publishAnnouncement(outcome.announcement);
@@ -230,6 +266,7 @@
       subscriber.isPushDue = true;
       subscriber.updates.flush();
     }
+    refreshRollouts();
     tables.advance();
     void sendConfirmedRevision();
   }
@@ -247,16 +284,19 @@
   function composeUpdate(subscriber: Subscriber): FeedUpdate {
     const { changedEndpoints, confirmedRevision, crashCursor, isPushDue, wantsReports } =
       subscriber;
+    const sendsRollouts = subscriber.isRolloutDue && subscriber.wantsTables;
     const announcements = [...changedEndpoints].flatMap(registry.listOf);
     changedEndpoints.clear();
     subscriber.confirmedRevision = undefined;
     subscriber.isPushDue = false;
+    subscriber.isRolloutDue = false;
     return createUpdate({
       announcements,
       confirmedRevision,
       ...listChangedKeepers(subscriber),
       reports: isPushDue && wantsReports ? listRecentReports(subscriber) : [],
       crashRecords: crashCursor.takeChanged(),
+      rollouts: sendsRollouts ? host.listRollouts() : [],
     });
   }
 
--- a/src/keeper/controlService.ts
+++ b/src/keeper/controlService.ts
@@ -14,6 +14,7 @@
 } from '../generated/control.js';
 import type { TableDocument } from '../generated/keeper.js';
 import type { StreamOrigins } from '../streams/streamOrigins.js';
+import type { RolloutAuthority } from './rolloutAuthority.js';
 import type { TableAuthority } from './tableAuthority.js';
 
 /** What the service delegates its calls to. */
@@ -22,13 +23,14 @@
   clock: Clock;
   logger: Logger;
   authority: TableAuthority;
+  rollouts: Pick<RolloutAuthority, 'beginLocally' | 'readLocally'>;
   feed: FeedServer;
   streamOrigins: Pick<StreamOrigins, 'tryGet'>;
 }
 
 /** Creates the handlers. */
 export function createControlService(host: ControlServiceHost): ControlServer {
-  const { settings, clock, logger, authority, feed, streamOrigins } = host;
+  const { settings, clock, logger, authority, rollouts, feed, streamOrigins } = host;
 
   return {
     declare(call, callback) {
@@ -37,6 +39,12 @@
     readTable(call, callback) {
       respond(call.metadata, callback, () => authority.readLocally(call.request));
     },
+    beginRollout(call, callback) {
+      respond(call.metadata, callback, () => rollouts.beginLocally(call.request));
+    },
+    readRollout(call, callback) {
+      respond(call.metadata, callback, () => rollouts.readLocally(call.request));
+    },
     findStreamOrigins(call, callback) {
       respond(call.metadata, callback, () => Promise.resolve(findOrigins(call.request.callIds)));
     },
--- a/src/keeper/state.ts
+++ b/src/keeper/state.ts
@@ -8,6 +8,7 @@
 import { createClaims, type Claims, type SavedClaims } from './claims.js';
 import { createDeclaredTable, type DeclaredTable, type SavedTable } from './declaredTable.js';
 import { createMembers, type Members, type SavedMembers } from './members.js';
+import { createRollouts, type RolloutRecord, type Rollouts } from './rollouts.js';
 import { createSuspects } from './suspects.js';
 import { createThings, type Things } from './things.js';
 import { createTickets, type SavedTickets, type Tickets } from './tickets.js';
@@ -20,6 +21,7 @@
   readonly members: Members;
   readonly claims: Claims;
   readonly table: DeclaredTable;
+  readonly rollouts: Rollouts;
   apply(command: Command, index: number): ApplyResult;
   save(): Buffer;
   load(saved: Uint8Array): void;
@@ -32,6 +34,7 @@
   claims: SavedClaims;
   suspects: [string, Suspect][];
   table: SavedTable | undefined;
+  rollouts: RolloutRecord[] | undefined;
 }
 
 /** Creates an empty state. */
@@ -42,8 +45,9 @@
   const claims = createClaims();
   const suspects = createSuspects(things);
   const table = createDeclaredTable();
+  const rollouts = createRollouts();
 
-  return { things, tickets, members, claims, table, apply, save, load };
+  return { things, tickets, members, claims, table, rollouts, apply, save, load };
 
   function apply(command: Command, index: number): ApplyResult {
     things.setRevision(index);
@@ -73,8 +77,12 @@
       case 'tableDeclare':
         return { kind: 'table', outcome: table.declare(change.value) };
       case 'rolloutBegin':
+        return { kind: 'rollout', outcome: rollouts.begin(change.value, index) };
       case 'rolloutStep':
+        rollouts.step(change.value, index);
+        return { kind: 'done' };
       case 'rolloutEnd':
+        rollouts.end(change.value, index);
         return { kind: 'done' };
       default:
         return assertNever(change);
@@ -102,6 +110,7 @@
       claims: claims.save(),
       suspects: suspects.save(),
       table: table.save(),
+      rollouts: rollouts.list(),
     };
     return Buffer.from(JSON.stringify(saved));
   }
@@ -114,5 +123,6 @@
     claims.load(saved.claims);
     suspects.load(saved.suspects);
     table.load(saved.table);
+    rollouts.load(saved.rollouts);
   }
 }
--- a/src/keeper/tableAuthority.ts
+++ b/src/keeper/tableAuthority.ts
@@ -1,32 +1,25 @@
 /** Declares and reads the table on any keeper; followers forward both to the leader. */
 
-import { status, type Metadata, type ServiceError } from '@grpc/grpc-js';
+import type { Metadata } from '@grpc/grpc-js';
 import type { Clock } from '../common/clock.js';
-import { raise, RaisedFailure } from '../common/failure.js';
-import { deadlineIn } from '../common/rpc.js';
-import type { ControlClient, DeclareResponse, ReadTableRequest } from '../generated/control.js';
+import { raise } from '../common/failure.js';
+import type { DeclareResponse, ReadTableRequest } from '../generated/control.js';
 import type { TableDocument } from '../generated/keeper.js';
 import { createDeclarations, type Declarations, type DeclareAlone } from './declarations.js';
 import { callLeader, type KnownLeader } from './leaderCall.js';
+import { CALL_TIMEOUT_MS, callRemotely, type RemoteCallHost } from './remoteCalls.js';
 import type { RunningReplica } from './replica.js';
 
-/** Shorter than the second after which an operator asks another keeper. */
-const CALL_TIMEOUT_MS = 900;
 /** Operators wait longer for large tables, which take longer to store. */
 const STORED_BYTES_PER_MS = 2 * 1024;
-/** Share of a call's time for one attempt, so that a call that waited behind a lost one has its own. */
-const ATTEMPT_SHARE = 1 / 2;
 /** No call takes as long. */
 const MAX_QUEUE_MS = 4_000;
 
 /** External dependencies of the table authority. */
-export interface TableAuthorityHost {
+export interface TableAuthorityHost extends RemoteCallHost {
   clock: Pick<Clock, 'now'>;
   metadata: Metadata;
   tryGetReplica(): RunningReplica | undefined;
-  getClient(address: string): ControlClient;
-  /** Called after a call to that keeper got no answer in time. */
-  renewClient(address: string): void;
 }
 
 /** Declares and reads tables. */
@@ -49,12 +42,6 @@
   readLocally(request: ReadTableRequest): Promise<TableDocument>;
 }
 
-type RemoteCall<Response> = (
-  client: ControlClient,
-  options: { deadline: number },
-  done: (error: ServiceError | null, response: Response) => void,
-) => unknown;
-
 const noTable: TableDocument = { revision: 0, document: Buffer.alloc(0) };
 
 /** Creates the authority. */
@@ -98,7 +85,7 @@
 
   function forward(table: TableDocument, leader: KnownLeader): Promise<DeclareResponse> {
     return getDeclarations((declared) =>
-      callRemotely<DeclareResponse>(leader, getTimeoutMs(declared), (client, options, done) =>
+      callRemotely<DeclareResponse>(host, leader, getTimeoutMs(declared), (client, options, done) =>
         client.declare(declared, host.metadata, options, done),
       ),
     ).declare(table);
@@ -140,6 +127,7 @@
     const { current } = getReplica().state.table;
     const request = { knownRevision: current.revision };
     const table = await callRemotely<TableDocument>(
+      host,
       leader,
       CALL_TIMEOUT_MS,
       (client, options, done) => client.readTable(request, host.metadata, options, done),
@@ -147,25 +135,6 @@
     return table.revision === current.revision ? current : table;
   }
 
-  /** Makes one attempt of a call that may take `timeoutMs`. */
-  function callRemotely<Response>(
-    { replica }: KnownLeader,
-    timeoutMs: number,
-    run: RemoteCall<Response>,
-  ): Promise<Response> {
-    const client = host.getClient(replica.address);
-    return new Promise((resolve, reject) => {
-      run(client, deadlineIn(timeoutMs * ATTEMPT_SHARE), (error, response) => {
-        if (error === null) {
-          resolve(response);
-          return;
-        }
-        if (error.code === status.DEADLINE_EXCEEDED) host.renewClient(replica.address);
-        reject(new RaisedFailure({ kind: 'unavailable', reason: error.details }));
-      });
-    });
-  }
-
   async function readLocally(request: ReadTableRequest): Promise<TableDocument> {
     const replica = getReplica();
     if (!(await replica.confirmLeadership())) {
--- a/src/keeper/types.ts
+++ b/src/keeper/types.ts
@@ -55,6 +55,12 @@
 /** `superseded`: a table with the same or a higher revision is already in force. */
 export type DeclareOutcome = 'accepted' | 'superseded';
 
+/**
+ * `repeated`: the pool's latest rollout was ordered with the same version and duration; `inProgress`:
+ * another one is in progress.
+ */
+export type RolloutOutcome = 'accepted' | 'repeated' | 'inProgress';
+
 /** Result of applying a command to the replicated state. */
 export type ApplyResult =
   | { kind: 'ticket'; outcome: TicketOutcome }
@@ -62,6 +68,7 @@
   | { kind: 'claim'; outcome: ClaimOutcome }
   | { kind: 'solo'; outcome: SoloOutcome }
   | { kind: 'table'; outcome: DeclareOutcome }
+  | { kind: 'rollout'; outcome: RolloutOutcome }
   | { kind: 'done' };
 
 /** Publishes changes of things. */
--- a/test/unit/feed/feedClient.test.ts
+++ b/test/unit/feed/feedClient.test.ts
@@ -45,6 +45,7 @@
     getTable: () => ({ revision: 1, document }),
     readConfirmedTable: () => Promise.resolve(undefined),
     listKeepers: () => ({ addresses: [address, other], index }),
+    listRollouts: () => [],
     isCurrent: () => isCurrent,
   });
   const server = createServer();
--- a/test/unit/feed/feedServer.test.ts
+++ b/test/unit/feed/feedServer.test.ts
@@ -25,6 +25,7 @@
     getTable: () => ({ revision: 1, document: Buffer.alloc(0) }),
     readConfirmedTable: () => Promise.resolve(undefined),
     listKeepers: () => ({ addresses: [], index: 0 }),
+    listRollouts: () => [],
     isCurrent: () => true,
   });
   const updates: FeedUpdate[] = [];
--- a/test/unit/feed/pausedConnection.test.ts
+++ b/test/unit/feed/pausedConnection.test.ts
@@ -32,6 +32,7 @@
       getTable: () => ({ revision: 1, document: Buffer.alloc(100) }),
       readConfirmedTable: () => Promise.resolve(undefined),
       listKeepers: () => ({ addresses: [], index: 0 }),
+      listRollouts: () => [],
       isCurrent: () => true,
     });
     let heldBytes = 0;
--- a/test/unit/feed/slowSubscriber.test.ts
+++ b/test/unit/feed/slowSubscriber.test.ts
@@ -28,6 +28,7 @@
     getTable: () => table,
     readConfirmedTable: () => Promise.resolve(undefined),
     listKeepers: () => ({ addresses: [], index: 0 }),
+    listRollouts: () => [],
     isCurrent: () => true,
   });
   return { server, table, events };
