--- a/test/unit/platform/settings.test.ts
+++ b/test/unit/platform/settings.test.ts
@@ -70,6 +70,15 @@
     assert.equal(read(keeper).keeper?.bootstrap, true);
   });
 
+  // Deployments whose platform states no bounds of rollouts must be served as before.
+  it('allow rollouts only where their bounds are stated', () => {
+    const canary = { ...bounds, canaryShare: 0.1, canaryExcess: 50, revertMs: 5_000 };
+    const rollout = { maxShare: 0.1, maxExcess: 50, revertMs: 5_000 };
+    assert.deepEqual({ ...read({ ...keeper, bounds: canary }).keeper?.rollout }, rollout);
+    assert.equal(read({ ...gateway, bounds: canary }).keeper, undefined);
+    assert.equal(read(keeper).keeper?.rollout, undefined);
+  });
+
   it('use only ports of the range between keepers, wherever it lies', () => {
     for (const portRange of [
       [7_600, 7_615],
