Count the time of a power loss of all keepers toward a rollout's duration

Monotonic clocks begin anew with the processes, so a rollout lost the time for which all keepers were away. Each keeper saves the ages with its own wall clock beside its log, as it does with crash records; clocks of several machines are not compared.

--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -19,6 +19,7 @@
 import { createControlService } from '../keeper/controlService.js';
 import type { Peers } from '../keeper/peers.js';
 import type { RunningReplica } from '../keeper/replica.js';
+import { startRolloutAgeStore } from '../keeper/rolloutAgeStore.js';
 import { createRolloutAuthority } from '../keeper/rolloutAuthority.js';
 import { createRolloutController } from '../keeper/rolloutController.js';
 import { createTableAuthority } from '../keeper/tableAuthority.js';
@@ -30,6 +31,7 @@
 /** Names of files in the data folder, beside the folder of the log. */
 const CRASH_RECORD_FILE = 'crashes';
 const STREAM_ORIGIN_FILE = 'streams';
+const ROLLOUT_AGE_FILE = 'rollouts';
 /** Interval of the heartbeats between keepers. */
 const PEER_HEARTBEAT_INTERVAL_MS = 300;
 
@@ -83,6 +85,11 @@
   const rolloutSettings = settings.keeper.rollout;
   const isEnabled = rolloutSettings !== undefined;
   const rollouts = createRolloutAuthority({ ...forwarding, isEnabled });
+  const rolloutAgeStore = startRolloutAgeStore({
+    clock,
+    logger,
+    path: join(settings.keeper.dataFolder, ROLLOUT_AGE_FILE),
+  });
   const rolloutController = createRolloutController({
     clock,
     logger,
@@ -91,7 +98,11 @@
     tryGetReplica: host.tryGetReplica,
     listReports: () => feedServer.listReports(),
     listAnnouncements: () => registry.list(),
-    onChange: () => feedServer.publishRollouts(),
+    getSavedAgeMs: rolloutAgeStore.getAgeMs,
+    onChange() {
+      feedServer.publishRollouts();
+      void rolloutAgeStore.save(rolloutController.list());
+    },
   });
   const feedServer = createFeedServer({
     clock,
--- a/src/keeper/rolloutController.ts
+++ b/src/keeper/rolloutController.ts
@@ -36,6 +36,8 @@
   /** Latest reports of the gateways. */
   listReports(): GatewayReport[];
   listAnnouncements(): Announcement[];
+  /** Time since an order as known from before this process, in milliseconds; 0 if it is not. */
+  getSavedAgeMs(pool: string, order: number): number;
   /** Called when a rollout has changed. */
   onChange(): void;
 }
@@ -103,9 +105,10 @@
     host.onChange();
   }
 
-  function follow({ pool, order, state, ageMs }: RolloutRecord): void {
+  function follow({ pool, order, state, ageMs: committedMs }: RolloutRecord): void {
     const now = clock.now();
     const known = followed.get(pool);
+    const ageMs = Math.max(committedMs, host.getSavedAgeMs(pool, order));
     if (state !== 'inProgress') {
       followed.delete(pool);
     } else if (known?.order === order) {
--- a/test/unit/keeper/rolloutController.test.ts
+++ b/test/unit/keeper/rolloutController.test.ts
@@ -100,6 +100,7 @@
       }),
       listReports: () => (random() < LOST_SHARE ? [] : [createReport()]),
       listAnnouncements: () => [{ ...createAnnouncement(1, 8), softwareVersion: 'v2' }],
+      getSavedAgeMs: () => 0,
       onChange() {},
     });
     keeper.controller.onApplied();
@@ -244,6 +245,7 @@
         return [];
       },
       listAnnouncements: () => [],
+      getSavedAgeMs: () => 0,
       onChange() {},
     });
     const check = (isActive: boolean): void => {
