Route new requests by the rollout of their pool

An ordered rollout moves a pool to another software version by a share that the keepers set. Gateways served all versions alike.

Each request is drawn for a version when it is submitted, and each placement at the new version is taken from a budget that grows by the share with each request.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -23,6 +23,7 @@
 import { createOriginLookup } from '../gateway/originLookup.js';
 import { createQuotas } from '../gateway/quotas.js';
 import { createRetryBudget } from '../gateway/retryBudget.js';
+import { createRolloutRouting } from '../gateway/rolloutRouting.js';
 import { createScheduler } from '../gateway/scheduler.js';
 import { createStallDetector } from '../gateway/stallDetector.js';
 import { createTableView } from '../gateway/tableView.js';
@@ -111,11 +112,19 @@
   });
   const heldBytes = createHeldBytes(settings.memoryMb);
   const unread = createUnreadResponses({ logger, now, heldBytes });
+  const rollouts = createRolloutRouting({
+    clock,
+    logger,
+    random: Math.random,
+    countGateways: () => endpoints.gatewayCounts.known,
+    hasReady: (pool, softwareVersion) => endpoints.hasReady(pool, softwareVersion),
+  });
   const scheduler = createScheduler({
     now,
     random: Math.random,
     endpoints,
     isEngine: (pool) => tableView.index?.tryGetPool(pool)?.engine !== undefined,
+    rollouts,
   });
   const metadata = createPeerMetadata(settings);
   const feed = createFeedClient({
@@ -135,7 +144,11 @@
     streamOrigins,
     tables: { receive: tableView.receive, confirm: tableView.confirm },
     onAnnouncements(announcements) {
-      for (const announcement of announcements) registry.merge(announcement);
+      for (const announcement of announcements) {
+        if (registry.merge(announcement).kind !== 'refused') {
+          rollouts.recordAnnouncement(announcement);
+        }
+      }
       endpoints.syncWithRegistry();
       scheduler.reevaluate();
     },
@@ -146,6 +159,7 @@
       }
       scheduler.reevaluate();
     },
+    onRollouts: (records, isCurrent) => rollouts.receive(records, isCurrent),
   });
   const readiness = polka();
   readiness.use((_request, response) => {
--- a/src/feed/feedClient.ts
+++ b/src/feed/feedClient.ts
@@ -20,6 +20,7 @@
   type GatewayReport,
   type StreamOrigin,
 } from '../generated/control.js';
+import type { Rollout } from '../generated/keeper.js';
 import type { KeeperQuestion, StreamOrigins } from '../streams/streamOrigins.js';
 import { createFeedOutbox, type FeedOutbox } from './feedOutbox.js';
 import { createKeeperDirectory, type KeeperList } from './keeperDirectory.js';
@@ -69,6 +70,8 @@
   tables: TableReceiver | undefined;
   onAnnouncements(announcements: Announcement[]): void;
   onReports(reports: GatewayReport[]): void;
+  /** Called with each update, also one without rollouts; left out by subscribers that are no gateways. */
+  onRollouts?(rollouts: Rollout[], isCurrent: boolean): void;
 }
 
 /** A running feed client. */
@@ -273,6 +276,8 @@
       link.keepers = { addresses: update.keepers, index: update.keepersIndex };
       directory.receive(link.keepers);
     }
+    // First, as endpoints that become known are placed at once.
+    host.onRollouts?.(update.rollouts, update.isCurrent);
     if (update.announcements.length > 0) host.onAnnouncements(update.announcements);
     if (update.crashRecords.length > 0) host.onCrashRecords(update.crashRecords);
     const { table, confirmedRevision } = update;
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -7,6 +7,7 @@
 
 import type { Endpoint, EndpointTracker } from './endpointTracker.js';
 import { tryChooseEndpoint, type Candidate } from './placement.js';
+import type { RolloutRouting, VersionDraw } from './rolloutRouting.js';
 import { createRouteFairness, type RouteFairness } from './routeFairness.js';
 import { getQueueRank } from './queueRank.js';
 import { createWaitingQueue, type QueueItem, type WaitingQueue } from './waitingQueue.js';
@@ -56,6 +57,8 @@
   excluded: ReadonlySet<string>;
   /** The only software version that may continue the stream; undefined if it has not begun. */
   softwareVersion: string | undefined;
+  /** What the scheduler has drawn for it in a rollout of the pool; undefined without one. */
+  versionDraw?: VersionDraw | undefined;
   onPlaced(endpoint: Endpoint): void;
   onRefused(reason: RefusalReason, retryAfterMs: number): void;
 }
@@ -68,6 +71,8 @@
   random(): number;
   endpoints: EndpointTracker;
   isEngine(pool: string): boolean;
+  /** All software versions are served alike without it. */
+  rollouts?: Pick<RolloutRouting, 'draw' | 'mayUse' | 'recordPlacement'>;
 }
 
 /** Places requests at endpoints. */
@@ -111,7 +116,7 @@
 
   return {
     submit,
-    canPlace: (request) => tryChoose(request) !== undefined,
+    canPlace: (request) => tryChooseVersion(request) !== undefined,
     withdraw,
     release: (pool) => placeWaiting(pool),
     reevaluate,
@@ -128,6 +133,7 @@
       request.onRefused('versionGone', MAX_RETRY_AFTER_MS);
       return;
     }
+    request.versionDraw = drawVersion(request);
     if (!request.wasInterrupted) state.fairness.recordRequest(request.route);
     const isLate = request.slackMs <= 0;
     const { arrivedAt } = request;
@@ -136,7 +142,7 @@
     const expiresAt = now + request.maxQueueMs;
     const rank = rankOf(request, isLate);
     const entry: QueuedRequest = { rank, arrivedAt, request, isShort, lateAt, expiresAt };
-    if (state.queue.countAhead(entry) === 0 && tryPlace(state, request)) return;
+    if (isFirst(state, entry) && tryPlace(state, request)) return;
     const waitMs = estimateWaitMs(state, entry);
     const longestMs = Math.min(request.maxQueueMs, MAX_WAIT_MS);
     if (waitMs > longestMs && !request.wasInterrupted) {
@@ -147,6 +153,19 @@
     state.queue.push(entry);
   }
 
+  function drawVersion({ pool, softwareVersion, versionDraw }: PlacementRequest) {
+    return softwareVersion === undefined ? host.rollouts?.draw(pool, versionDraw) : undefined;
+  }
+
+  /** Whether no request ahead waits for the same endpoints. */
+  function isFirst({ queue }: PoolState, entry: QueuedRequest): boolean {
+    const ahead = queue.countAhead(entry);
+    const { versionDraw } = entry.request;
+    if (ahead === 0 || versionDraw === undefined) return ahead === 0;
+    const others = [...queue].slice(0, ahead).map(({ request }) => request.versionDraw);
+    return others.every((other) => other !== undefined && other !== versionDraw);
+  }
+
   /** Whether any endpoint could still serve the request, now or later. */
   function hasMatchingVersion({ pool, softwareVersion }: PlacementRequest): boolean {
     return softwareVersion === undefined || endpoints.hasReady(pool, softwareVersion);
@@ -198,18 +217,25 @@
     const state = getPool(pool);
     /** Software versions without a free slot. */
     const full = new Set<string>();
+    /** Draws of requests that found no free slot. */
+    const fullDraws = new Set<VersionDraw>();
     for (const { request } of listInPlacementOrder(state)) {
       if (!queued.has(request)) continue;
       const { softwareVersion } = request;
       if (softwareVersion !== undefined && full.has(softwareVersion)) continue;
+      // One that has waited since before the rollout is drawn now.
+      request.versionDraw ??= drawVersion(request);
+      const { versionDraw } = request;
+      if (versionDraw !== undefined && fullDraws.has(versionDraw)) continue;
       if (tryPlace(state, request)) {
         withdraw(request);
         continue;
       }
       // Endpoints that a restricted request may not use may still have free slots for others.
       if (request.excluded.size > 0) continue;
-      if (softwareVersion === undefined) return;
-      full.add(softwareVersion);
+      if (softwareVersion !== undefined) full.add(softwareVersion);
+      else if (versionDraw !== undefined) fullDraws.add(versionDraw);
+      else return;
     }
   }
 
@@ -235,6 +261,20 @@
     return entry.request.teamRank === other?.request.teamRank;
   }
 
+  /** Tries the versions that the request was drawn for before the others that it may use. */
+  function tryChooseVersion(request: PlacementRequest): Endpoint | undefined {
+    const endpoint = tryChoose(request);
+    if (endpoint !== undefined || request.versionDraw === undefined) return endpoint;
+    return tryChoose({ ...request, versionDraw: 'either' });
+  }
+
+  function isAllowed(request: PlacementRequest, { announcement }: Endpoint): boolean {
+    const { pool, excluded, softwareVersion, versionDraw } = request;
+    if (excluded.has(announcement.endpointId)) return false;
+    if (softwareVersion !== undefined) return softwareVersion === announcement.softwareVersion;
+    return host.rollouts?.mayUse(pool, announcement.softwareVersion, versionDraw) ?? true;
+  }
+
   function tryChoose(request: PlacementRequest): Endpoint | undefined {
     const candidates: Candidate<Endpoint>[] = [];
     const isEngine = host.isEngine(request.pool);
@@ -260,8 +300,9 @@
   }
 
   function tryPlace(state: PoolState, request: PlacementRequest): boolean {
-    const endpoint = tryChoose(request);
+    const endpoint = tryChooseVersion(request);
     if (endpoint === undefined) return false;
+    host.rollouts?.recordPlacement(request.pool, endpoint.announcement.softwareVersion);
     recordPlacement(state, request);
     if (endpoint.running === 0) endpoint.lastActivityAt = host.now();
     endpoint.running += 1;
@@ -336,9 +377,3 @@
     return created;
   }
 }
-
-function isAllowed({ excluded, softwareVersion }: PlacementRequest, endpoint: Endpoint): boolean {
-  const { announcement } = endpoint;
-  if (excluded.has(announcement.endpointId)) return false;
-  return softwareVersion === undefined || softwareVersion === announcement.softwareVersion;
-}
