Count the outcomes of each software version during a rollout

The keepers judge a new version by the gateways' reports, whose lists of outcomes were empty.

Attempts are counted as begun, completed, failed or slow per pool, version and route while a rollout is watched.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -29,6 +29,7 @@
 import { createTableView } from '../gateway/tableView.js';
 import type { Dialect } from '../gateway/types.js';
 import { createUnreadResponses } from '../gateway/unreadResponses.js';
+import { createVersionOutcomes } from '../gateway/versionOutcomes.js';
 import type { CallerLimits, RoutingTable } from '../routing/types.js';
 import { createEndpointRegistry } from '../registry/registry.js';
 import { createStreamOrigins } from '../streams/streamOrigins.js';
@@ -119,6 +120,10 @@
     countGateways: () => endpoints.gatewayCounts.known,
     hasReady: (pool, softwareVersion) => endpoints.hasReady(pool, softwareVersion),
   });
+  const versionOutcomes = createVersionOutcomes({
+    isTracked: (pool) => rollouts.isTracked(pool),
+    onBegun: (pool, version) => metrics.count('gatewayVersionSends', 1, { pool, version }),
+  });
   const scheduler = createScheduler({
     now,
     random: Math.random,
@@ -193,6 +198,7 @@
       crashSuspects,
       drain,
       heldBytes,
+      versionOutcomes,
       shareStreamOrigin(origin) {
         streamOrigins.record(origin);
         return feed.sendOrigins();
@@ -244,7 +250,7 @@
       loads: endpoints.listLoads(),
       uses: quotas.listUses(),
       waiting: scheduler.waitingCount,
-      versionOutcomes: [],
+      versionOutcomes: versionOutcomes.list(),
     };
   }
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,18 +5,23 @@
 import type { Endpoint, EndpointTracker } from './endpointTracker.js';
 import type { Exchange } from './endpointClient.js';
 import type { WatchedAttempt } from './stallDetector.js';
-import type { ResponseHead } from './types.js';
+import type { AttemptFailure, Call, ResponseHead } from './types.js';
+import type { VersionOutcomes } from './versionOutcomes.js';
 
 /** Larger responses are forwarded as they arrive and not retried once they have started. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 /** The same while the gateway holds too much. */
 const MAX_BUFFERED_BYTES_WHEN_SHORT = 16 * 1024;
 
+/** Reason for which a response is given up whose endpoint has started again as another version. */
+export const OTHER_VERSION = 'another software version';
+
 /** Dependencies of an attempt. */
 export interface AttemptHost {
   clock: Clock;
   endpoints: EndpointTracker;
   heldBytes: HeldBytes;
+  versionOutcomes: VersionOutcomes;
 }
 
 /** An attempt in progress. */
@@ -35,8 +40,12 @@
   recordBytes(): number;
   /** Records a chunk of a stream. */
   recordChunk(): void;
-  /** Records that the response is complete. */
+  /** Records that the response is complete, be it a success or not. */
   recordEnd(): void;
+  /** Records that no complete response came. */
+  recordFailure(failure: AttemptFailure): void;
+  /** Records that the call's time is over. */
+  recordTimeout(): void;
   /** Buffers bytes of a response that is forwarded later. */
   buffer(chunk: Buffer): void;
   /** Whether the response should be forwarded as it arrives from now on. */
@@ -48,8 +57,9 @@
 
 /** Records an attempt at its endpoint, which processes `promptTokens` before the response starts. */
 export function createAttempt(
-  { clock, endpoints, heldBytes }: AttemptHost,
+  { clock, endpoints, heldBytes, versionOutcomes }: AttemptHost,
   endpoint: Endpoint,
+  call: Call,
   promptTokens: number,
 ): Attempt {
   const sentAt = clock.now();
@@ -61,9 +71,12 @@
   let bufferedBytes = 0;
   let isForwarded = false;
   let isPromptRemoved = false;
+  let firstByteAt: number | undefined;
+  const { promptTokenMs, chunkIntervalMs } = endpoint.speed;
+  const isCounted = versionOutcomes.recordBegun(call, endpoint.announcement.softwareVersion);
   endpoint.unreadTokens += promptTokens;
 
-  return {
+  const attempt: Attempt = {
     endpoint,
     get softwareVersion() {
       const { announcement, successor } = endpoint;
@@ -79,8 +92,12 @@
     },
     recordBytes,
     recordChunk,
-    recordEnd() {
-      if (chunks > 0) endpoint.speed.recordStream(chunks, clock.now() - firstChunkAt);
+    recordEnd,
+    recordFailure,
+    recordTimeout() {
+      // An attempt that began late in the call's time has had no chance to end within it.
+      const ownMs = clock.now() - sentAt;
+      if (isCounted && ownMs >= (call.deadline - call.arrivedAt) / 2) countFailure();
     },
     buffer(chunk) {
       buffered.push(chunk);
@@ -102,6 +119,7 @@
       dropBuffered();
     },
   };
+  return attempt;
 
   function dropBuffered(): void {
     heldBytes.add(-bufferedBytes);
@@ -113,6 +131,7 @@
     const time = clock.now();
     const pauseMs = time - (lastByteAt ?? time);
     lastByteAt = time;
+    firstByteAt ??= time;
     endpoint.lastActivityAt = time;
     endpoint.health.recordResponseData(time);
     return pauseMs;
@@ -126,6 +145,34 @@
     if (pendingTokens > 0) endpoint.speed.recordFirstChunk(pendingTokens, firstChunkAt - sentAt);
   }
 
+  function recordEnd(): void {
+    const { head, softwareVersion } = attempt;
+    const time = clock.now();
+    if (chunks > 0) endpoint.speed.recordStream(chunks, time - firstChunkAt);
+    if (!isCounted || head === undefined) return;
+    if (head.status >= 500) countFailure();
+    // A response that blames the request says nothing about the version.
+    if (head.status < 200 || head.status >= 300) return;
+    versionOutcomes.recordCompleted(call, softwareVersion, endpoint, {
+      firstMs: (firstByteAt ?? time) - sentAt,
+      totalMs: time - sentAt,
+      chunks,
+      pendingTokens,
+      slowdown: Math.max(1, head.load?.slowdown ?? 1, endpoint.selfReported?.slowdown ?? 1),
+      before: { promptTokenMs, chunkIntervalMs },
+    });
+  }
+
+  /** A request that did not run says nothing, nor does the end of a stream at another version. */
+  function recordFailure(failure: AttemptFailure): void {
+    const isOwn = failure.kind === 'unknown' && failure.reason !== OTHER_VERSION;
+    if (isCounted && (isOwn || failure.kind === 'failed')) countFailure();
+  }
+
+  function countFailure(): void {
+    versionOutcomes.recordFailed(call, attempt.softwareVersion);
+  }
+
   function removePrompt(): void {
     if (isPromptRemoved) return;
     isPromptRemoved = true;
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -8,7 +8,7 @@
 import type { HeldBytes } from '../common/heldBytes.js';
 import type { Logger } from '../common/logging.js';
 import type { StreamOrigin } from '../generated/control.js';
-import { createAttempt, type Attempt } from './attempt.js';
+import { createAttempt, OTHER_VERSION, type Attempt } from './attempt.js';
 import { describeAttemptFailure, recordAttemptFailure } from './attemptFailure.js';
 import { createCallProgress, type CallSummary } from './callProgress.js';
 import type { CrashDetector } from './crashDetector.js';
@@ -24,6 +24,7 @@
 import type { StallDetector } from './stallDetector.js';
 import { createStreamVersion } from './streamVersion.js';
 import type { AttemptFailure, Call, Dialect, ResponseHead } from './types.js';
+import type { VersionOutcomes } from './versionOutcomes.js';
 
 /** Dependencies of a handler. */
 export interface CallHandlerHost {
@@ -38,6 +39,7 @@
   crashSuspects: CrashSuspects;
   drain: Pick<Drain, 'mayBegin'>;
   heldBytes: HeldBytes;
+  versionOutcomes: VersionOutcomes;
   /** Shares where a stream of this gateway begins; resolves when others will get to know it. */
   shareStreamOrigin(origin: StreamOrigin): Promise<void>;
   /** Called once when the call has ended. */
@@ -112,7 +114,7 @@
     progress.recordAttempt(endpoint.announcement);
     excluded.add(endpointId);
     const resumeAfter = splitter?.lastEventId;
-    const started = createAttempt(host, endpoint, placement.promptTokens);
+    const started = createAttempt(host, endpoint, call, placement.promptTokens);
     current = started;
     watch(started);
     const headers = dialect.toEndpointHeaders(requestHead, {
@@ -201,7 +203,7 @@
   function forward(attempt: Attempt, head: ResponseHead, chunk: Buffer): boolean {
     attempt.recordChunk();
     if (!version.admits(attempt)) {
-      failAttempt(attempt, { kind: 'unknown', reason: 'another software version' });
+      failAttempt(attempt, { kind: 'unknown', reason: OTHER_VERSION });
       return true;
     }
     const bytes = splitter?.push(chunk);
@@ -292,6 +294,7 @@
   function failAttempt(attempt: Attempt, failure: AttemptFailure, decided?: NextStep): void {
     version.recordFailure(attempt);
     recordAttemptFailure(attempt.endpoint.health, failure, clock.now());
+    attempt.recordFailure(failure);
     attempt.exchange?.abort();
     endAttempt(attempt);
     splitter?.dropPartialEvent();
@@ -350,6 +353,7 @@
 
   function timeOut(): void {
     if (isOver) return;
+    current?.recordTimeout();
     if (writer.hasStarted) writer.destroy();
     else writer.writeLocalReply({ status: 504, reason: 'no answer in time' });
     finish('timedOut', 504, current === undefined ? 'not placed in time' : 'no response in time');
--- a/src/gateway/rolloutRouting.ts
+++ b/src/gateway/rolloutRouting.ts
@@ -81,7 +81,8 @@
   orderedAt: number;
   /** Monotonic time at which the end became known here; undefined before. */
   endedAt: number | undefined;
-  oldVersions: Set<string>;
+  /** Versions other than the new one that were known here before the order. */
+  oldVersions: ReadonlySet<string>;
   /** Sum of the shares of the requests drawn. */
   drawnShare: number;
   /** Value of `drawnShare` at which the next request is drawn for the new version. */
@@ -198,9 +199,7 @@
   function isOldVersion({ record, orderedAt, oldVersions }: PoolRollout, version: string): boolean {
     if (oldVersions.has(version)) return true;
     const startedAt = bornAt.get(record.pool)?.get(version);
-    if (startedAt === undefined || startedAt >= orderedAt) return false;
-    oldVersions.add(version);
-    return true;
+    return startedAt !== undefined && startedAt < orderedAt;
   }
 
   function isFresh(): boolean {
