Start endpoints slowly in adaptive pools

An endpoint that starts or returns from an ejection got an equal share of its free slots from each of 25 gateways at once. Gateways now share one allowance for each incarnation, which rises with responses in time and is cut when they are late, rejected or broken.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -82,6 +82,7 @@
     random: Math.random,
     registry,
     scheduling: gateway.scheduling,
+    isEngine,
     onLeaving: (announcement) => feed.announce(announcement),
   });
   const quotas = createQuotas({
@@ -115,7 +116,7 @@
     now,
     random: Math.random,
     endpoints,
-    isEngine: (pool) => tableView.index?.tryGetPool(pool)?.engine !== undefined,
+    isEngine,
   });
   const metadata = createPeerMetadata(settings);
   const feed = createFeedClient({
@@ -222,8 +223,13 @@
     scheduler.reevaluate();
   }
 
+  function isEngine(pool: string): boolean {
+    return tableView.index?.tryGetPool(pool)?.engine !== undefined;
+  }
+
   function createReport(): GatewayReport {
     metrics.gauge('gatewayWaiting', scheduler.waitingCount);
+    metrics.gauge('gatewayLimitedEndpoints', endpoints.limitedCount);
     return {
       gatewayId: settings.id,
       incarnation,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -2,6 +2,7 @@
 
 import type { Clock } from '../common/clock.js';
 import type { HeldBytes } from '../common/heldBytes.js';
+import type { Route } from '../routing/types.js';
 import type { Endpoint, EndpointTracker } from './endpointTracker.js';
 import type { Exchange } from './endpointClient.js';
 import type { WatchedAttempt } from './stallDetector.js';
@@ -11,6 +12,10 @@
 const MAX_BUFFERED_BYTES = 256 * 1024;
 /** The same while the gateway holds too much. */
 const MAX_BUFFERED_BYTES_WHEN_SHORT = 16 * 1024;
+/** Share of a route's objective that a first event may always take before its endpoint is late. */
+const EXPECTED_SHARE = 1 / 4;
+/** Time after a late event in which further ones of the same stream are due to the same delay. */
+const SAME_DELAY_MS = 600;
 
 /** Dependencies of an attempt. */
 export interface AttemptHost {
@@ -35,7 +40,7 @@
   recordBytes(): number;
   /** Records a chunk of a stream. */
   recordChunk(): void;
-  /** Records that the response is complete. */
+  /** Records that the response is complete and not a failure. */
   recordEnd(): void;
   /** Buffers bytes of a response that is forwarded later. */
   buffer(chunk: Buffer): void;
@@ -51,9 +56,14 @@
   { clock, endpoints, heldBytes }: AttemptHost,
   endpoint: Endpoint,
   promptTokens: number,
+  { objectiveMs, pauseObjectiveMs = Number.POSITIVE_INFINITY }: Route,
 ): Attempt {
   const sentAt = clock.now();
   const pendingTokens = endpoints.getUnreadTokens(endpoint) + promptTokens;
+  const promptMs = pendingTokens * endpoints.getPromptTokenMs(endpoint);
+  const expectedMs = Math.max(promptMs, EXPECTED_SHARE * objectiveMs);
+  let lateAt = Number.NEGATIVE_INFINITY;
+  let isServing = false;
   let chunks = 0;
   let firstChunkAt = 0;
   let lastByteAt: number | undefined;
@@ -80,7 +90,9 @@
     recordBytes,
     recordChunk,
     recordEnd() {
-      if (chunks > 0) endpoint.speed.recordStream(chunks, clock.now() - firstChunkAt);
+      const time = clock.now();
+      if (chunks > 0) endpoint.speed.recordStream(chunks, time - firstChunkAt);
+      else endpoint.pace.recordFirstEvent(Math.max(promptMs, objectiveMs), time - sentAt, sentAt);
     },
     buffer(chunk) {
       buffered.push(chunk);
@@ -99,6 +111,7 @@
     },
     close() {
       removePrompt();
+      setServing(false);
       dropBuffered();
     },
   };
@@ -113,15 +126,32 @@
     const time = clock.now();
     const pauseMs = time - (lastByteAt ?? time);
     lastByteAt = time;
+    if (chunks > 0 && time - lateAt > SAME_DELAY_MS) recordPause(pauseMs, time);
     endpoint.lastActivityAt = time;
     endpoint.health.recordResponseData(time);
     return pauseMs;
   }
 
+  function recordPause(pauseMs: number, time: number): void {
+    const isLate = pauseMs > pauseObjectiveMs;
+    setServing(!isLate);
+    if (!isLate) return;
+    lateAt = time;
+    endpoint.pace.recordLatePause(sentAt);
+  }
+
+  function setServing(next: boolean): void {
+    if (isServing === next) return;
+    isServing = next;
+    endpoint.pace.recordServing(next ? 1 : -1);
+  }
+
   function recordChunk(): void {
     chunks += 1;
     if (chunks > 1) return;
     firstChunkAt = clock.now();
+    setServing(true);
+    endpoint.pace.recordFirstEvent(expectedMs, firstChunkAt - sentAt, sentAt);
     removePrompt();
     if (pendingTokens > 0) endpoint.speed.recordFirstChunk(pendingTokens, firstChunkAt - sentAt);
   }
--- a/src/gateway/attemptFailure.ts
+++ b/src/gateway/attemptFailure.ts
@@ -1,16 +1,33 @@
 /** What the failure of an attempt says about its endpoint, and how log lines describe it. */
 
 import { assertNever } from '../common/debug.js';
+import type { Attempt } from './attempt.js';
 import { toConnectFailure, type ConnectFailure } from './connectFailure.js';
 import type { EndpointHealth } from './endpointHealth.js';
-import type { AttemptFailure } from './types.js';
+import type { AttemptFailure, ResponseHead } from './types.js';
 
-/** Records a failure in the health of the endpoint of the attempt. */
+/** Records a failure in the health and the pace of the endpoint of the attempt. */
 export function recordAttemptFailure(
-  health: EndpointHealth,
+  { endpoint, head, sentAt }: Pick<Attempt, 'endpoint' | 'head' | 'sentAt'>,
   failure: AttemptFailure,
   now: number,
 ): void {
+  const { health, pace } = endpoint;
+  const wasEjected = health.isEjected;
+  recordInHealth(health, failure, now);
+  if (health.isEjected && !wasEjected) pace.recordEjection();
+  if (failure.kind === 'unsendable' || isOutsidePace(head)) return;
+  if (failure.kind === 'notSent' && toConnectFailure(failure.reason) === 'notTried') return;
+  pace.recordFailure(sentAt);
+}
+
+/** Whether the endpoint states that it takes fewer requests for another reason than its load. */
+function isOutsidePace(head: ResponseHead | undefined): boolean {
+  if (head === undefined) return false;
+  return head.isLeaving || head.unwantedForMs !== undefined || head.maxRequestRate !== undefined;
+}
+
+function recordInHealth(health: EndpointHealth, failure: AttemptFailure, now: number): void {
   switch (failure.kind) {
     case 'notSent':
       recordConnectFailure(health, toConnectFailure(failure.reason), now);
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -112,7 +112,7 @@
     progress.recordAttempt(endpoint.announcement);
     excluded.add(endpointId);
     const resumeAfter = splitter?.lastEventId;
-    const started = createAttempt(host, endpoint, placement.promptTokens);
+    const started = createAttempt(host, endpoint, placement.promptTokens, route);
     current = started;
     watch(started);
     const headers = dialect.toEndpointHeaders(requestHead, {
@@ -254,9 +254,12 @@
       return;
     }
     if (isFailure(head) && tryRetry(attempt, head)) return;
-    if (isFailure(head)) attempt.endpoint.health.recordErrorResponse(clock.now());
-    else attempt.endpoint.health.recordSuccess();
-    attempt.recordEnd();
+    if (isFailure(head)) {
+      recordAttemptFailure(attempt, { kind: 'failed', status: head.status }, clock.now());
+    } else {
+      attempt.endpoint.health.recordSuccess();
+      attempt.recordEnd();
+    }
     recordBegun();
     progress.runCount += 1;
     const rest = attempt.takeBuffered();
@@ -291,7 +294,7 @@
 
   function failAttempt(attempt: Attempt, failure: AttemptFailure, decided?: NextStep): void {
     version.recordFailure(attempt);
-    recordAttemptFailure(attempt.endpoint.health, failure, clock.now());
+    recordAttemptFailure(attempt, failure, clock.now());
     attempt.exchange?.abort();
     endAttempt(attempt);
     splitter?.dropPartialEvent();
@@ -366,6 +369,7 @@
   function releaseSlot(endpoint: Endpoint): void {
     endpoint.running -= 1;
     endpoint.slotLimiter.recordRelease();
+    endpoint.pace.recordRelease();
     scheduler.release(pool);
   }
 
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -9,6 +9,8 @@
 import type { EndpointRegistry } from '../registry/registry.js';
 import { createEndpointClient, type EndpointClient } from './endpointClient.js';
 import { createEndpointHealth, type EndpointHealth } from './endpointHealth.js';
+import type { EndpointPace } from './endpointPace.js';
+import { createEndpointPaces } from './endpointPaces.js';
 import { createEndpointSpeed, type EndpointSpeed } from './endpointSpeed.js';
 import { createPeerLoads } from './peerLoads.js';
 import {
@@ -34,6 +36,8 @@
   readonly client: EndpointClient;
   readonly health: EndpointHealth;
   readonly speed: EndpointSpeed;
+  /** Used in adaptive pools only. */
+  readonly pace: EndpointPace;
   readonly slotLimiter: SlotLimiter;
   readonly rateLimit: RequestRateLimit;
   /** Requests of this gateway that run there. */
@@ -69,6 +73,8 @@
   registry: EndpointRegistry;
   /** Which pools are adaptive; `auto` by default. */
   scheduling?: Scheduling;
+  /** Whether a pool consists of engines, the only ones that can be adaptive. */
+  isEngine?(pool: string): boolean;
   /** Called once when an endpoint states in a response that it leaves. */
   onLeaving(announcement: Announcement): void;
 }
@@ -85,6 +91,10 @@
   getOccupancy(endpoint: Endpoint): number;
   /** Estimated prompt tokens of all gateways that an endpoint has not processed yet. */
   getUnreadTokens(endpoint: Endpoint): number;
+  /** Processing time of one prompt token, of other endpoints of the pool if it has no samples. */
+  getPromptTokenMs(endpoint: Endpoint): number;
+  /** Number of endpoints in adaptive pools whose allowance is limited. */
+  readonly limitedCount: number;
   /** Whether the endpoints of a pool are chosen by expected latency and started slowly. */
   isAdaptive(pool: string): boolean;
   applyReport(report: GatewayReport): void;
@@ -101,6 +111,7 @@
   const pacer = createReadPacer(host.now);
   const endpoints = new Map<string, Endpoint>();
   const peerLoads = createPeerLoads(host.now);
+  const paces = createEndpointPaces({ ...host, peerLoads, isAdaptive });
   const { scheduling = 'auto' } = host;
   /** Pools in which an endpoint has stated how much its VM slows it down. */
   const slowedPools = new Set<string>();
@@ -111,6 +122,10 @@
     hasReady,
     getOccupancy,
     getUnreadTokens,
+    getPromptTokenMs,
+    get limitedCount() {
+      return [...endpoints.values()].filter(isLimited).length;
+    },
     isAdaptive,
     applyReport,
     recordStatements,
@@ -128,7 +143,7 @@
         if (!isReplaced(known.announcement, announcement)) continue;
         endEndpoint(known, announcement);
       }
-      endpoints.set(announcement.endpointId, createEndpoint(announcement));
+      endpoints.set(announcement.endpointId, createEndpoint(announcement, known));
     }
     for (const [id, endpoint] of endpoints) {
       const isGone = host.registry.tryGet(id)?.state === 'gone';
@@ -157,12 +172,13 @@
     }
   }
 
-  function createEndpoint(announcement: Announcement): Endpoint {
+  function createEndpoint(announcement: Announcement, known?: Endpoint): Endpoint {
     return {
       announcement,
       client: createEndpointClient(announcement.address, host.now, pacer),
       health: createEndpointHealth(),
       speed: createEndpointSpeed(),
+      pace: paces.getOrCreate(announcement, known),
       slotLimiter: createSlotLimiter(host.now, host.random),
       rateLimit: createRequestRateLimit({
         now: host.now,
@@ -180,6 +196,7 @@
 
   function listUsable(pool: string, isRetryable: boolean): Endpoint[] {
     const now = host.now();
+    paces.recordDemand(pool);
     const usable: Endpoint[] = [];
     for (const [id, endpoint] of endpoints) {
       if (endpoint.announcement.pool !== pool || !host.registry.isUsable(id)) continue;
@@ -209,9 +226,25 @@
     return unreadTokens + peerLoads.countUnreadTokens(endpointId, speed.promptTokenMs ?? 0);
   }
 
+  function getPromptTokenMs({ announcement, speed }: Endpoint): number {
+    if (speed.promptTokenMs !== undefined) return speed.promptTokenMs;
+    let [sum, count] = [0, 0];
+    for (const peer of endpoints.values()) {
+      const { promptTokenMs } = peer.speed;
+      if (promptTokenMs === undefined || peer.announcement.pool !== announcement.pool) continue;
+      sum += promptTokenMs;
+      count += 1;
+    }
+    return count === 0 ? 0 : sum / count;
+  }
+
+  function isLimited({ announcement, pace }: Endpoint): boolean {
+    return pace.isLimited && isAdaptive(announcement.pool);
+  }
+
   function isAdaptive(pool: string): boolean {
-    if (scheduling === 'auto') return slowedPools.has(pool);
-    return scheduling === 'adaptive';
+    if (scheduling === 'auto' && !slowedPools.has(pool)) return false;
+    return scheduling !== 'basic' && (host.isEngine?.(pool) ?? true);
   }
 
   /** Requests of other gateways, derived from the load that the endpoint itself reported. */
@@ -224,6 +257,7 @@
     for (const load of report.loads) {
       if (load.isOut) applyRemoteEjection(load.endpointId);
       applyRate(report, load);
+      endpoints.get(load.endpointId)?.pace.applyPeer(report.gatewayId, load.pace);
     }
     peerLoads.apply(report);
   }
@@ -259,6 +293,7 @@
   }
 
   function recordLoad(endpoint: Endpoint, load: ReportedLoad): void {
+    endpoint.pace.recordQueue(load.waiting);
     endpoint.selfReported = { ...load, at: host.now(), ownRunning: endpoint.running };
     if (load.slowdown !== undefined) slowedPools.add(endpoint.announcement.pool);
   }
@@ -285,16 +320,20 @@
 
   function listLoads(): EndpointLoad[] {
     const loads: EndpointLoad[] = [];
-    for (const [endpointId, { running, unreadTokens, health, rateLimit }] of endpoints) {
+    for (const [endpointId, endpoint] of endpoints) {
+      const { running, unreadTokens, health, rateLimit, announcement } = endpoint;
       const { isEjected: isOut } = health;
       const rateStatement = toRateStatement(rateLimit);
-      if (running === 0 && !isOut && rateStatement === undefined) continue;
+      const pace = isAdaptive(announcement.pool) ? endpoint.pace.report : undefined;
+      const hasStatement = rateStatement !== undefined || pace !== undefined;
+      if (running === 0 && !isOut && !hasStatement) continue;
       loads.push({
         endpointId,
         running,
         isOut,
         unreadTokens: Math.min(unreadTokens, MAX_REPORTED_TOKENS),
         rateStatement,
+        pace,
       });
     }
     return loads;
--- a/src/gateway/peerLoads.ts
+++ b/src/gateway/peerLoads.ts
@@ -19,6 +19,8 @@
    * takes `tokenMs` for each; 0 if that is not known.
    */
   countUnreadTokens(endpointId: string, tokenMs: number): number;
+  /** Whether one of them has requests running at an endpoint and has not ejected it. */
+  isServing(endpointId: string): boolean;
   /** Counts the gateways, including this one. */
   countGateways(): GatewayCounts;
 }
@@ -31,7 +33,7 @@
 export function createPeerLoads(now: () => number): PeerLoads {
   const peers = new Map<string, Peer>();
 
-  return { apply, countRunning, countUnreadTokens, countGateways };
+  return { apply, countRunning, countUnreadTokens, isServing, countGateways };
 
   function apply({ gatewayId, loads }: GatewayReport): void {
     const byEndpoint = new Map(loads.map((load) => [load.endpointId, load]));
@@ -61,6 +63,16 @@
     return count;
   }
 
+  function isServing(endpointId: string): boolean {
+    const oldest = now() - REPORT_RETENTION_MS;
+    for (const { loads, reportedAt } of peers.values()) {
+      if (reportedAt < oldest) continue;
+      const load = loads.get(endpointId);
+      if (load !== undefined && load.running > 0 && !load.isOut) return true;
+    }
+    return false;
+  }
+
   function countGateways(): GatewayCounts {
     const time = now();
     const counts = { responsive: 1, known: 1 };
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -238,14 +238,18 @@
   function tryChoose(request: PlacementRequest): Endpoint | undefined {
     const candidates: Candidate<Endpoint>[] = [];
     const isEngine = host.isEngine(request.pool);
+    const isPaced = isEngine && endpoints.isAdaptive(request.pool);
     const gateways = endpoints.gatewayCounts;
     for (const endpoint of endpoints.listUsable(request.pool, request.isRetryable)) {
       if (!isAllowed(request, endpoint)) continue;
       const occupancy = endpoints.getOccupancy(endpoint);
       const slots = endpoint.announcement.slots + (isEngine ? 0 : SERVICE_QUEUE);
-      const { slotLimiter, rateLimit } = endpoint;
+      const { slotLimiter, pace, rateLimit } = endpoint;
       const free = slots - occupancy;
-      if (isEngine && !slotLimiter.canPlace(free, slots, gateways.responsive)) continue;
+      if (isPaced && !pace.canPlace(occupancy, gateways)) continue;
+      // A limited allowance is divided instead of the slots.
+      const dividesSlots = isEngine && !(isPaced && pace.isDividing);
+      if (dividesSlots && !slotLimiter.canPlace(free, slots, gateways.responsive)) continue;
       if (!rateLimit.canPlace(gateways)) continue;
       candidates.push({
         endpoint,
@@ -266,6 +270,7 @@
     if (endpoint.running === 0) endpoint.lastActivityAt = host.now();
     endpoint.running += 1;
     endpoint.slotLimiter.recordPlacement();
+    endpoint.pace.recordPlacement();
     endpoint.rateLimit.recordPlacement();
     // Deferred because the callback may release the slot, which would re-enter the placement loop.
     queueMicrotask(() => request.onPlaced(endpoint));
--- a/test/unit/gateway/peerLoads.test.ts
+++ b/test/unit/gateway/peerLoads.test.ts
@@ -7,7 +7,14 @@
 import type { GatewayReport } from '../../../src/generated/control.js';
 
 function createReport(gatewayId: string, running: number, unreadTokens: number): GatewayReport {
-  const load = { endpointId: 'a', running, isOut: false, unreadTokens, rateStatement: undefined };
+  const load = {
+    endpointId: 'a',
+    running,
+    isOut: false,
+    unreadTokens,
+    rateStatement: undefined,
+    pace: undefined,
+  };
   return { gatewayId, incarnation: '1', loads: [load], uses: [], waiting: 0, versionOutcomes: [] };
 }
 
