Test what gateways observe of paced endpoints, and that other pools are placed as before

Each of seven faults put into the code one at a time failed a test: reports of any age, reports of another incarnation, no floor of served streams, no waiting time before an established endpoint is cut, a limit by one gateway's ejection alone, no allowance taken over, and a pace in pools that are not adaptive.

--- a/test/unit/gateway/endpointPace.test.ts
+++ b/test/unit/gateway/endpointPace.test.ts
@@ -155,10 +155,13 @@
   });
 
   it('at one gateway only, whose link failed, is not limited', () => {
-    const { pace } = createPace({ isNew: false, isServingOthers: () => true });
-    pace.recordEjection();
-    assert.equal(pace.canPlace(0, ALONE), true);
-    assert.equal(pace.allowance, SLOTS);
+    for (const isServingOthers of [true, false]) {
+      const { clock, pace } = createPace({ isNew: false, isServingOthers: () => isServingOthers });
+      pace.recordEjection();
+      clock.advance(500);
+      assert.equal(pace.canPlace(0, ALONE), true);
+      assert.equal(pace.allowance === SLOTS, isServingOthers);
+    }
   });
 
   it('as another incarnation starts anew, whatever is reported of the one before', () => {
@@ -273,6 +276,15 @@
     }
   });
 
+  it('stays as others have raised it when they are lost', () => {
+    const { clock, pace } = createPace();
+    pace.applyPeer('a', createReport({ allowance: 9 }));
+    assert.equal(pace.allowance, 9, 'taken over');
+    clock.advance(1_501);
+    pace.applyPeer('b', createReport({}));
+    assert.equal(pace.allowance, 9);
+  });
+
   it('does not rise while requests wait inside the endpoint', () => {
     const { pace } = createPace();
     pace.recordQueue(1);
