--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -84,6 +84,7 @@
     random: Math.random,
     registry,
     scheduling: gateway.scheduling,
+    isEngine,
     onLeaving: (announcement) => feed.announce(announcement),
   });
   const quotas = createQuotas({
@@ -128,7 +129,7 @@
     now,
     random: Math.random,
     endpoints,
-    isEngine: (pool) => tableView.index?.tryGetPool(pool)?.engine !== undefined,
+    isEngine,
     rollouts,
   });
   const metadata = createPeerMetadata(settings);
@@ -242,8 +243,13 @@
     scheduler.reevaluate();
   }
 
+  function isEngine(pool: string): boolean {
+    return tableView.index?.tryGetPool(pool)?.engine !== undefined;
+  }
+
   function createReport(): GatewayReport {
     metrics.gauge('gatewayWaiting', scheduler.waitingCount);
+    metrics.gauge('gatewayLimitedEndpoints', endpoints.limitedCount);
     return {
       gatewayId: settings.id,
       incarnation,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -12,6 +12,10 @@
 const MAX_BUFFERED_BYTES = 256 * 1024;
 /** The same while the gateway holds too much. */
 const MAX_BUFFERED_BYTES_WHEN_SHORT = 16 * 1024;
+/** Share of a route's objective that a first event may always take before its endpoint is late. */
+const EXPECTED_SHARE = 1 / 4;
+/** Time after a late event in which further ones of the same stream are due to the same delay. */
+const SAME_DELAY_MS = 600;
 
 /** Reason for which a response is given up whose endpoint has started again as another version. */
 export const OTHER_VERSION = 'another software version';
@@ -40,7 +44,7 @@
   recordBytes(): number;
   /** Records a chunk of a stream. */
   recordChunk(): void;
-  /** Records that the response is complete, be it a success or not. */
+  /** Records that the response is complete and not a failure. */
   recordEnd(): void;
   /** Records that no complete response came. */
   recordFailure(failure: AttemptFailure): void;
@@ -62,8 +66,13 @@
   call: Call,
   promptTokens: number,
 ): Attempt {
+  const { objectiveMs, pauseObjectiveMs = Number.POSITIVE_INFINITY } = call.route;
   const sentAt = clock.now();
   const pendingTokens = endpoints.getUnreadTokens(endpoint) + promptTokens;
+  const promptMs = pendingTokens * endpoints.getPromptTokenMs(endpoint);
+  const expectedMs = Math.max(promptMs, EXPECTED_SHARE * objectiveMs);
+  let lateAt = Number.NEGATIVE_INFINITY;
+  let isServing = false;
   let chunks = 0;
   let firstChunkAt = 0;
   let lastByteAt: number | undefined;
@@ -116,6 +125,7 @@
     },
     close() {
       removePrompt();
+      setServing(false);
       dropBuffered();
     },
   };
@@ -132,15 +142,32 @@
     const pauseMs = time - (lastByteAt ?? time);
     lastByteAt = time;
     firstByteAt ??= time;
+    if (chunks > 0 && time - lateAt > SAME_DELAY_MS) recordPause(pauseMs, time);
     endpoint.lastActivityAt = time;
     endpoint.health.recordResponseData(time);
     return pauseMs;
   }
 
+  function recordPause(pauseMs: number, time: number): void {
+    const isLate = pauseMs > pauseObjectiveMs;
+    setServing(!isLate);
+    if (!isLate) return;
+    lateAt = time;
+    endpoint.pace.recordLatePause(sentAt);
+  }
+
+  function setServing(next: boolean): void {
+    if (isServing === next) return;
+    isServing = next;
+    endpoint.pace.recordServing(next ? 1 : -1);
+  }
+
   function recordChunk(): void {
     chunks += 1;
     if (chunks > 1) return;
     firstChunkAt = clock.now();
+    setServing(true);
+    endpoint.pace.recordFirstEvent(expectedMs, firstChunkAt - sentAt, sentAt);
     removePrompt();
     if (pendingTokens > 0) endpoint.speed.recordFirstChunk(pendingTokens, firstChunkAt - sentAt);
   }
@@ -149,8 +176,8 @@
     const { head, softwareVersion } = attempt;
     const time = clock.now();
     if (chunks > 0) endpoint.speed.recordStream(chunks, time - firstChunkAt);
+    else endpoint.pace.recordFirstEvent(Math.max(promptMs, objectiveMs), time - sentAt, sentAt);
     if (!isCounted || head === undefined) return;
-    if (head.status >= 500) countFailure();
     // A response that blames the request says nothing about the version.
     if (head.status < 200 || head.status >= 300) return;
     versionOutcomes.recordCompleted(call, softwareVersion, endpoint, {
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -256,9 +256,14 @@
       return;
     }
     if (isFailure(head) && tryRetry(attempt, head)) return;
-    if (isFailure(head)) attempt.endpoint.health.recordErrorResponse(clock.now());
-    else attempt.endpoint.health.recordSuccess();
-    attempt.recordEnd();
+    if (isFailure(head)) {
+      const failure: AttemptFailure = { kind: 'failed', status: head.status };
+      recordAttemptFailure(attempt, failure, clock.now());
+      attempt.recordFailure(failure);
+    } else {
+      attempt.endpoint.health.recordSuccess();
+      attempt.recordEnd();
+    }
     recordBegun();
     progress.runCount += 1;
     const rest = attempt.takeBuffered();
@@ -293,7 +298,7 @@
 
   function failAttempt(attempt: Attempt, failure: AttemptFailure, decided?: NextStep): void {
     version.recordFailure(attempt);
-    recordAttemptFailure(attempt.endpoint.health, failure, clock.now());
+    recordAttemptFailure(attempt, failure, clock.now());
     attempt.recordFailure(failure);
     attempt.exchange?.abort();
     endAttempt(attempt);
@@ -370,6 +375,7 @@
   function releaseSlot(endpoint: Endpoint): void {
     endpoint.running -= 1;
     endpoint.slotLimiter.recordRelease();
+    endpoint.pace.recordRelease();
     scheduler.release(pool);
   }
 
