Take reports without a pace at no cost, and breaks between late responses as such

A gateway that hears of 32 endpoints from 24 others ten times per second computed the allowance for each.

--- a/src/gateway/endpointPace.ts
+++ b/src/gateway/endpointPace.ts
@@ -146,6 +146,7 @@
   let ejectedAt: number | undefined;
   /** Since when an endpoint with full slots has had bad signs without interruption. */
   let badSince: number | undefined;
+  let badCheckedAt = Number.NEGATIVE_INFINITY;
   let queuedAt = Number.NEGATIVE_INFINITY;
   const least = Math.max(1, slots * START_SHARE * (host.isWarming ? 1 / 2 : 1));
   if (host.isNew) beginRound(1, least, 'started');
@@ -230,8 +231,11 @@
 
   function applyPeer(gatewayId: string, report: PaceReport | undefined): void {
     if (report === undefined) {
+      peers.delete(gatewayId);
+      // Most reports are these: in a steady state they cost nothing.
+      if (!isLimited) return;
       // The others have found it sound for so long that they no longer report it.
-      if (isLimited && now() - roundAt > END_RETENTION_MS + REPORT_RETENTION_MS) earned = slots;
+      if (now() - roundAt > END_RETENTION_MS + REPORT_RETENTION_MS) earned = slots;
     } else if (report.bornAtMs === bornAtMs) {
       peers.set(gatewayId, { report, at: now() });
       follow(report);
@@ -274,8 +278,12 @@
   }
 
   function isBadForLong(badCount: number): boolean {
-    if (badCount < Math.max(MIN_ESTABLISHED_BAD, slots / 2)) badSince = undefined;
-    else badSince ??= now();
+    // While bad signs come, so do checks; a longer break between them is an interruption.
+    const wasInterrupted = now() - badCheckedAt > WINDOW_MS;
+    badCheckedAt = now();
+    const isBad = badCount >= Math.max(MIN_ESTABLISHED_BAD, slots / 2);
+    if (wasInterrupted || !isBad) badSince = undefined;
+    if (isBad) badSince ??= now();
     return badSince !== undefined && now() - badSince >= SUSTAINED_MS;
   }
 
--- a/test/unit/gateway/endpointPace.test.ts
+++ b/test/unit/gateway/endpointPace.test.ts
@@ -209,6 +209,15 @@
     assert.ok(sumOf(paced, late) <= sumOf(unpaced, late));
   });
 
+  it('is not limited by two short times of late responses with a break between them', () => {
+    const { clock, pace } = createPace({ isNew: false });
+    for (const breakMs of [2_000, 0]) {
+      for (let late = 0; late < SLOTS; late += 1) pace.recordLatePause(clock.now());
+      assert.equal(pace.allowance, SLOTS);
+      clock.advance(breakMs);
+    }
+  });
+
   it('is limited once most of its responses are late for longer than that, and recovers', () => {
     const events: string[] = [];
     const { clock, pace } = createPace({
