Place by expected latency where endpoints state the load of their VMs

Cause: the placement weighed speed, load and the first event of the new request.

Change: the cost of an endpoint is the number of responses that a placement is expected to make late, with speeds that gateways share and what endpoints state of their VMs; the own failure domain decides among equals. Only in pools whose endpoints state a slowdown, or where the settings say so. The choice of an endpoint has a module of its own.

--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -83,6 +83,7 @@
     now,
     random: Math.random,
     registry,
+    failureDomain: settings.failureDomain,
     scheduling: gateway.scheduling,
     isEngine,
     onLeaving: (announcement) => feed.announce(announcement),
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,6 +5,7 @@
 import type { Endpoint, EndpointTracker } from './endpointTracker.js';
 import type { Exchange } from './endpointClient.js';
 import type { WatchedAttempt } from './stallDetector.js';
+import type { PlacementRequest } from './scheduler.js';
 import type { AttemptFailure, Call, ResponseHead } from './types.js';
 import type { VersionOutcomes } from './versionOutcomes.js';
 
@@ -64,7 +65,7 @@
   { clock, endpoints, heldBytes, versionOutcomes }: AttemptHost,
   endpoint: Endpoint,
   call: Call,
-  promptTokens: number,
+  { promptTokens, outputTokens }: Pick<PlacementRequest, 'promptTokens' | 'outputTokens'>,
 ): Attempt {
   const { objectiveMs, pauseObjectiveMs = Number.POSITIVE_INFINITY } = call.route;
   const sentAt = clock.now();
@@ -76,6 +77,7 @@
   let chunks = 0;
   let firstChunkAt = 0;
   let lastByteAt: number | undefined;
+  let longestPauseMs = 0;
   let buffered: Buffer[] = [];
   let bufferedBytes = 0;
   let isForwarded = false;
@@ -143,6 +145,7 @@
     lastByteAt = time;
     firstByteAt ??= time;
     if (chunks > 0 && time - lateAt > SAME_DELAY_MS) recordPause(pauseMs, time);
+    longestPauseMs = Math.max(longestPauseMs, pauseMs);
     endpoint.lastActivityAt = time;
     endpoint.health.recordResponseData(time);
     return pauseMs;
@@ -169,13 +172,15 @@
     setServing(true);
     endpoint.pace.recordFirstEvent(expectedMs, firstChunkAt - sentAt, sentAt);
     removePrompt();
-    if (pendingTokens > 0) endpoint.speed.recordFirstChunk(pendingTokens, firstChunkAt - sentAt);
+    if (pendingTokens === 0) return;
+    endpoint.speed.recordFirstChunk(pendingTokens, firstChunkAt - sentAt);
+    endpoint.sharedSpeed.recordFirstChunk(pendingTokens, firstChunkAt - sentAt);
   }
 
   function recordEnd(): void {
     const { head, softwareVersion } = attempt;
     const time = clock.now();
-    if (chunks > 0) endpoint.speed.recordStream(chunks, time - firstChunkAt);
+    if (chunks > 0) recordStream(time - firstChunkAt);
     else endpoint.pace.recordFirstEvent(Math.max(promptMs, objectiveMs), time - sentAt, sentAt);
     if (!isCounted || head === undefined) return;
     // A response that blames the request says nothing about the version.
@@ -190,6 +195,11 @@
     });
   }
 
+  function recordStream(elapsedMs: number): void {
+    endpoint.speed.recordStream(chunks, elapsedMs);
+    endpoint.sharedSpeed.recordStream({ chunks, elapsedMs, longestPauseMs, outputTokens });
+  }
+
   /** A request that did not run says nothing, nor does the end of a stream at another version. */
   function recordFailure(failure: AttemptFailure): void {
     const isOwn = failure.kind === 'unknown' && failure.reason !== OTHER_VERSION;
--- a/src/gateway/attemptFailure.ts
+++ b/src/gateway/attemptFailure.ts
@@ -6,13 +6,15 @@
 import type { EndpointHealth } from './endpointHealth.js';
 import type { AttemptFailure, ResponseHead } from './types.js';
 
-/** Records a failure in the health and the pace of the endpoint of the attempt. */
+/** Records a failure in the health and pace of the attempt's endpoint, and as an outcome of its version. */
 export function recordAttemptFailure(
-  { endpoint, head, sentAt }: Pick<Attempt, 'endpoint' | 'head' | 'sentAt'>,
+  attempt: Pick<Attempt, 'endpoint' | 'head' | 'sentAt' | 'recordFailure'>,
   failure: AttemptFailure,
   now: number,
 ): void {
+  const { endpoint, head, sentAt } = attempt;
   const { health, pace } = endpoint;
+  attempt.recordFailure(failure);
   const wasEjected = health.isEjected;
   recordInHealth(health, failure, now);
   if (health.isEjected && !wasEjected) pace.recordEjection();
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -114,7 +114,7 @@
     progress.recordAttempt(endpoint.announcement);
     excluded.add(endpointId);
     const resumeAfter = splitter?.lastEventId;
-    const started = createAttempt(host, endpoint, call, placement.promptTokens);
+    const started = createAttempt(host, endpoint, call, placement);
     current = started;
     watch(started);
     const headers = dialect.toEndpointHeaders(requestHead, {
@@ -257,9 +257,7 @@
     }
     if (isFailure(head) && tryRetry(attempt, head)) return;
     if (isFailure(head)) {
-      const failure: AttemptFailure = { kind: 'failed', status: head.status };
-      recordAttemptFailure(attempt, failure, clock.now());
-      attempt.recordFailure(failure);
+      recordAttemptFailure(attempt, { kind: 'failed', status: head.status }, clock.now());
     } else {
       attempt.endpoint.health.recordSuccess();
       attempt.recordEnd();
@@ -299,7 +297,6 @@
   function failAttempt(attempt: Attempt, failure: AttemptFailure, decided?: NextStep): void {
     version.recordFailure(attempt);
     recordAttemptFailure(attempt, failure, clock.now());
-    attempt.recordFailure(failure);
     attempt.exchange?.abort();
     endAttempt(attempt);
     splitter?.dropPartialEvent();
--- a/src/gateway/endpointPaces.ts
+++ b/src/gateway/endpointPaces.ts
@@ -16,7 +16,7 @@
   now(): number;
   random(): number;
   peerLoads: Pick<PeerLoads, 'isServing'>;
-  isAdaptive(pool: string): boolean;
+  isPaced(pool: string): boolean;
 }
 
 /** An endpoint as it was known before an announcement. */
@@ -34,7 +34,7 @@
 }
 
 export function createEndpointPaces(host: EndpointPacesHost): EndpointPaces {
-  const { logger, now, random, peerLoads, isAdaptive } = host;
+  const { logger, now, random, peerLoads, isPaced } = host;
   /** When requests were to be placed in a pool, first and last without a longer break. */
   const demands = new Map<string, { since: number; at: number }>();
   /** When an endpoint first became known. */
@@ -57,12 +57,12 @@
       wantedSince: () => wantedSince(pool),
       isServingOthers: () => peerLoads.isServing(endpointId),
       onLimited(allowance, reason) {
-        if (!isAdaptive(pool)) return;
+        if (!isPaced(pool)) return;
         const limit = { allowance: Math.floor(allowance), slots, reason };
         logger.event('endpointLimited', { endpoint: endpointId, ...limit });
       },
       onFull(limitedMs) {
-        if (!isAdaptive(pool)) return;
+        if (!isPaced(pool)) return;
         logger.event('endpointUnlimited', { endpoint: endpointId, slots, limitedMs });
       },
     });
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -18,8 +18,10 @@
   type GatewayCounts,
   type RequestRateLimit,
 } from './requestRateLimit.js';
+import { createSharedSpeed, type SharedSpeed } from './sharedSpeed.js';
 import { createSlotLimiter, type SlotLimiter } from './slotLimiter.js';
 import type { ReportedLoad, ResponseHead } from './types.js';
+import { createVmSlowdown, type VmSlowdown } from './vmSlowdown.js';
 
 /** Age after which the load that an endpoint itself reported is ignored. */
 const LOAD_RETENTION_MS = 400;
@@ -36,8 +38,11 @@
   readonly client: EndpointClient;
   readonly health: EndpointHealth;
   readonly speed: EndpointSpeed;
-  /** Used in adaptive pools only. */
+  /** Used in pools that are started slowly. */
   readonly pace: EndpointPace;
+  /** The speed that all gateways have seen; used in adaptive pools. */
+  readonly sharedSpeed: SharedSpeed;
+  readonly vmSlowdown: VmSlowdown;
   readonly slotLimiter: SlotLimiter;
   readonly rateLimit: RequestRateLimit;
   /** Requests of this gateway that run there. */
@@ -71,9 +76,11 @@
   now(): number;
   random(): number;
   registry: EndpointRegistry;
+  /** Of this gateway. */
+  failureDomain?: string;
   /** Which pools are adaptive; `auto` by default. */
   scheduling?: Scheduling;
-  /** Whether a pool consists of engines, the only ones that can be adaptive. */
+  /** Whether a pool consists of engines. */
   isEngine?(pool: string): boolean;
   /** Called once when an endpoint states in a response that it leaves. */
   onLeaving(announcement: Announcement): void;
@@ -93,10 +100,14 @@
   getUnreadTokens(endpoint: Endpoint): number;
   /** Processing time of one prompt token, of other endpoints of the pool if it has no samples. */
   getPromptTokenMs(endpoint: Endpoint): number;
-  /** Number of endpoints in adaptive pools whose allowance is limited. */
+  /** Number of endpoints whose allowance is limited. */
   readonly limitedCount: number;
-  /** Whether the endpoints of a pool are chosen by expected latency and started slowly. */
+  /** Whether an endpoint is in the failure domain of this gateway. */
+  isLocal(endpoint: Endpoint): boolean;
+  /** Whether the endpoints of a pool are chosen by expected latency. */
   isAdaptive(pool: string): boolean;
+  /** Whether the endpoints of a pool are started slowly; only engines are. */
+  isPaced(pool: string): boolean;
   applyReport(report: GatewayReport): void;
   /** Records what an endpoint states of itself in the response to a request sent at `sentAt`. */
   recordStatements(endpoint: Endpoint, head: ResponseHead, sentAt: number): void;
@@ -111,7 +122,7 @@
   const pacer = createReadPacer(host.now);
   const endpoints = new Map<string, Endpoint>();
   const peerLoads = createPeerLoads(host.now);
-  const paces = createEndpointPaces({ ...host, peerLoads, isAdaptive });
+  const paces = createEndpointPaces({ ...host, peerLoads, isPaced });
   const { scheduling = 'auto' } = host;
   /** Pools in which an endpoint has stated how much its VM slows it down. */
   const slowedPools = new Set<string>();
@@ -126,7 +137,9 @@
     get limitedCount() {
       return [...endpoints.values()].filter(isLimited).length;
     },
+    isLocal: ({ announcement }) => announcement.failureDomain === host.failureDomain,
     isAdaptive,
+    isPaced,
     applyReport,
     recordStatements,
     listLoads,
@@ -179,6 +192,8 @@
       health: createEndpointHealth(),
       speed: createEndpointSpeed(),
       pace: paces.getOrCreate(announcement, known),
+      sharedSpeed: createSharedSpeed(),
+      vmSlowdown: createVmSlowdown(host.now),
       slotLimiter: createSlotLimiter(host.now, host.random),
       rateLimit: createRequestRateLimit({
         now: host.now,
@@ -239,12 +254,15 @@
   }
 
   function isLimited({ announcement, pace }: Endpoint): boolean {
-    return pace.isLimited && isAdaptive(announcement.pool);
+    return pace.isLimited && isPaced(announcement.pool);
   }
 
   function isAdaptive(pool: string): boolean {
-    if (scheduling === 'auto' && !slowedPools.has(pool)) return false;
-    return scheduling !== 'basic' && (host.isEngine?.(pool) ?? true);
+    return scheduling === 'adaptive' || (scheduling === 'auto' && slowedPools.has(pool));
+  }
+
+  function isPaced(pool: string): boolean {
+    return isAdaptive(pool) && (host.isEngine?.(pool) ?? true);
   }
 
   /** Requests of other gateways, derived from the load that the endpoint itself reported. */
@@ -257,7 +275,7 @@
     for (const load of report.loads) {
       if (load.isOut) applyRemoteEjection(load.endpointId);
       applyRate(report, load);
-      endpoints.get(load.endpointId)?.pace.applyPeer(report.gatewayId, load.pace);
+      applyStatements(report, load);
     }
     peerLoads.apply(report);
   }
@@ -273,6 +291,16 @@
     endpoint?.rateLimit.applyPeer({ gatewayId, incarnation, sent, isWanted, statement });
   }
 
+  function applyStatements({ gatewayId }: GatewayReport, load: EndpointLoad): void {
+    const endpoint = endpoints.get(load.endpointId);
+    if (endpoint === undefined) return;
+    endpoint.pace.applyPeer(gatewayId, load.pace);
+    if (load.speed !== undefined) endpoint.sharedSpeed.applyPeer(gatewayId, load.speed);
+    if (load.slowdown === undefined) return;
+    slowedPools.add(endpoint.announcement.pool);
+    endpoint.vmSlowdown.applyPeer(load.slowdown);
+  }
+
   /** Ignores the ejection if this gateway itself has recently heard from the endpoint. */
   function applyRemoteEjection(endpointId: string): void {
     const endpoint = endpoints.get(endpointId);
@@ -295,7 +323,9 @@
   function recordLoad(endpoint: Endpoint, load: ReportedLoad): void {
     endpoint.pace.recordQueue(load.waiting);
     endpoint.selfReported = { ...load, at: host.now(), ownRunning: endpoint.running };
-    if (load.slowdown !== undefined) slowedPools.add(endpoint.announcement.pool);
+    if (load.slowdown === undefined) return;
+    slowedPools.add(endpoint.announcement.pool);
+    endpoint.vmSlowdown.record(load.slowdown);
   }
 
   function recordLeaving({ announcement }: Endpoint): void {
@@ -319,24 +349,30 @@
   }
 
   function listLoads(): EndpointLoad[] {
-    const loads: EndpointLoad[] = [];
-    for (const [endpointId, endpoint] of endpoints) {
-      const { running, unreadTokens, health, rateLimit, announcement } = endpoint;
-      const { isEjected: isOut } = health;
-      const rateStatement = toRateStatement(rateLimit);
-      const pace = isAdaptive(announcement.pool) ? endpoint.pace.report : undefined;
-      const hasStatement = rateStatement !== undefined || pace !== undefined;
-      if (running === 0 && !isOut && !hasStatement) continue;
-      loads.push({
-        endpointId,
-        running,
-        isOut,
-        unreadTokens: Math.min(unreadTokens, MAX_REPORTED_TOKENS),
-        rateStatement,
-        pace,
-      });
-    }
-    return loads;
+    return [...endpoints.values()].flatMap((endpoint) => tryDescribeLoad(endpoint) ?? []);
+  }
+
+  /** Returns undefined if there is nothing to report of the endpoint. */
+  function tryDescribeLoad(endpoint: Endpoint): EndpointLoad | undefined {
+    const { announcement, running, unreadTokens, health, rateLimit } = endpoint;
+    const { isEjected: isOut } = health;
+    const rateStatement = toRateStatement(rateLimit);
+    const isShared = isAdaptive(announcement.pool);
+    const pace = isPaced(announcement.pool) ? endpoint.pace.report : undefined;
+    const speed = isShared ? endpoint.sharedSpeed.takeSums() : undefined;
+    const slowdown = isShared ? endpoint.vmSlowdown.takeStatement() : undefined;
+    const statements = [rateStatement, pace, speed, slowdown];
+    if (running === 0 && !isOut && statements.every((each) => each === undefined)) return undefined;
+    return {
+      endpointId: announcement.endpointId,
+      running,
+      isOut,
+      unreadTokens: Math.min(unreadTokens, MAX_REPORTED_TOKENS),
+      rateStatement,
+      pace,
+      speed,
+      slowdown,
+    };
   }
 
   function toRateStatement({ statement, sent, isWanted }: RequestRateLimit) {
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -20,6 +20,14 @@
   unreadTokens: number;
   /** Mean processing time of one prompt token, in milliseconds. */
   promptTokenMs: number | undefined;
+  /** Mean time for one output token, in milliseconds. */
+  outputTokenMs: number | undefined;
+  /** Mean longest pause between two chunks of a stream, in milliseconds. */
+  pauseMs: number | undefined;
+  /** How long work takes on its VM now, relative to its usual time. */
+  slowdown: number;
+  /** Whether it is in the failure domain of the gateway. */
+  isLocal: boolean;
 }
 
 /** The properties of a request that determine the cost of a placement. */
@@ -27,8 +35,20 @@
   /** Work relative to the mean of the pool. */
   relativeWork: number;
   promptTokens: number;
+  /** Largest length of the response. */
+  outputTokens: number;
   /** Time within which the response should start, in milliseconds. */
   objectiveMs: number;
+  /** Longest pause between two events of a stream that is in time, in milliseconds; 0 without one. */
+  pauseObjectiveMs: number;
+  /** Time until the caller leaves, in milliseconds. */
+  remainingMs: number;
+}
+
+/** Decides how good each candidate is for a request. */
+export interface PlacementPolicy {
+  /** Returns the cost of each candidate. */
+  getCosts(candidates: readonly Candidate<unknown>[], demand: PlacementDemand): number[];
 }
 
 /** Cost of a full endpoint compared with an empty one; 1 is the duration of a whole request. */
@@ -47,25 +67,35 @@
   candidates: readonly Candidate<Endpoint>[],
   demand: PlacementDemand,
   random: () => number,
+  policy: PlacementPolicy,
 ): Endpoint | undefined {
-  const free = candidates.filter(({ occupancy, slots }) => occupancy < slots);
-  const means = {
-    chunkIntervalMs: getMean(candidates.flatMap(({ chunkIntervalMs }) => chunkIntervalMs ?? [])),
-    promptTokenMs: getMean(candidates.flatMap(({ promptTokenMs }) => promptTokenMs ?? [])),
-  };
-  const costs = free.map((candidate) => getCost(candidate, demand, means));
-  const least = Math.min(...costs);
-  const equals = free.filter((_candidate, index) => (costs[index] ?? 0) <= least + COST_TOLERANCE);
+  const costs = policy.getCosts(candidates, demand);
+  const free = candidates.flatMap(({ endpoint, occupancy, slots }, index) =>
+    occupancy < slots ? [{ endpoint, cost: costs[index] ?? 0 }] : [],
+  );
+  const least = Math.min(...free.map(({ cost }) => cost));
+  const equals = free.filter(({ cost }) => cost <= least + COST_TOLERANCE);
   return equals[Math.floor(random() * equals.length)]?.endpoint;
 }
 
+/** Weighs speed, load and the first chunk against each other. */
+export class LoadPlacement implements PlacementPolicy {
+  getCosts(candidates: readonly Candidate<unknown>[], demand: PlacementDemand): number[] {
+    const means = {
+      chunkIntervalMs: getMean(candidates.flatMap(({ chunkIntervalMs }) => chunkIntervalMs ?? [])),
+      promptTokenMs: getMean(candidates.flatMap(({ promptTokenMs }) => promptTokenMs ?? [])),
+    };
+    return candidates.map((candidate) => getCost(candidate, demand, means));
+  }
+}
+
 interface PoolMeans {
   chunkIntervalMs: number;
   promptTokenMs: number;
 }
 
-function getCost<Endpoint>(
-  { occupancy, slots, chunkIntervalMs, unreadTokens, promptTokenMs }: Candidate<Endpoint>,
+function getCost(
+  { occupancy, slots, chunkIntervalMs, unreadTokens, promptTokenMs }: Candidate<unknown>,
   { relativeWork, promptTokens, objectiveMs }: PlacementDemand,
   means: PoolMeans,
 ): number {
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -5,8 +5,8 @@
  * once, which affects the least urgent requests first.
  */
 
+import { createEndpointChooser } from './endpointChooser.js';
 import type { Endpoint, EndpointTracker } from './endpointTracker.js';
-import { tryChooseEndpoint, type Candidate } from './placement.js';
 import type { RolloutRouting, VersionDraw } from './rolloutRouting.js';
 import { createRouteFairness, type RouteFairness } from './routeFairness.js';
 import { getQueueRank } from './queueRank.js';
@@ -15,8 +15,6 @@
 const REEVALUATION_INTERVAL_MS = 50;
 /** Time window of the placement rate. */
 const RATE_WINDOW_MS = 2_000;
-/** Requests that a plain service may hold beyond its slots, since its requests are short. */
-const SERVICE_QUEUE = 6;
 const MIN_RETRY_AFTER_MS = 250;
 /** Share of the placement rate that is reserved for callers that retry after a refusal. */
 const RETURNING_SHARE = 0.1;
@@ -41,8 +39,14 @@
   /** Work relative to the mean of the pool. */
   relativeWork: number;
   promptTokens: number;
+  /** Largest length of the response, in tokens. */
+  outputTokens: number;
   /** Time within which the response should start, in milliseconds. */
   objectiveMs: number;
+  /** Longest pause between two events of a stream that is in time, in milliseconds; 0 without one. */
+  pauseObjectiveMs: number;
+  /** Monotonic time at which the caller leaves, in milliseconds. */
+  deadline: number;
   /** Monotonic time of the request's arrival, in milliseconds. */
   arrivedAt: number;
   /** Time for which it may wait and still meet its objective, in milliseconds. */
@@ -110,13 +114,14 @@
 
 export function createScheduler(host: SchedulerHost): Scheduler {
   const { endpoints } = host;
+  const chooser = createEndpointChooser(host);
   const pools = new Map<string, PoolState>();
   const queued = new Map<PlacementRequest, QueuedRequest>();
   const timer = setInterval(reevaluate, REEVALUATION_INTERVAL_MS);
 
   return {
     submit,
-    canPlace: (request) => tryChooseVersion(request) !== undefined,
+    canPlace: (request) => chooser.tryChoose(request) !== undefined,
     withdraw,
     release: (pool) => placeWaiting(pool),
     reevaluate,
@@ -261,50 +266,8 @@
     return entry.request.teamRank === other?.request.teamRank;
   }
 
-  /** Tries the versions that the request was drawn for before the others that it may use. */
-  function tryChooseVersion(request: PlacementRequest): Endpoint | undefined {
-    const endpoint = tryChoose(request);
-    if (endpoint !== undefined || request.versionDraw === undefined) return endpoint;
-    return tryChoose({ ...request, versionDraw: 'either' });
-  }
-
-  function isAllowed(request: PlacementRequest, { announcement }: Endpoint): boolean {
-    const { pool, excluded, softwareVersion, versionDraw } = request;
-    if (excluded.has(announcement.endpointId)) return false;
-    if (softwareVersion !== undefined) return softwareVersion === announcement.softwareVersion;
-    return host.rollouts?.mayUse(pool, announcement.softwareVersion, versionDraw) ?? true;
-  }
-
-  function tryChoose(request: PlacementRequest): Endpoint | undefined {
-    const candidates: Candidate<Endpoint>[] = [];
-    const isEngine = host.isEngine(request.pool);
-    const isPaced = isEngine && endpoints.isAdaptive(request.pool);
-    const gateways = endpoints.gatewayCounts;
-    for (const endpoint of endpoints.listUsable(request.pool, request.isRetryable)) {
-      if (!isAllowed(request, endpoint)) continue;
-      const occupancy = endpoints.getOccupancy(endpoint);
-      const slots = endpoint.announcement.slots + (isEngine ? 0 : SERVICE_QUEUE);
-      const { slotLimiter, pace, rateLimit } = endpoint;
-      const free = slots - occupancy;
-      if (isPaced && !pace.canPlace(occupancy, gateways)) continue;
-      // A limited allowance is divided instead of the slots.
-      const dividesSlots = isEngine && !(isPaced && pace.isDividing);
-      if (dividesSlots && !slotLimiter.canPlace(free, slots, gateways.responsive)) continue;
-      if (!rateLimit.canPlace(gateways)) continue;
-      candidates.push({
-        endpoint,
-        occupancy,
-        slots,
-        chunkIntervalMs: endpoint.speed.chunkIntervalMs,
-        unreadTokens: endpoints.getUnreadTokens(endpoint),
-        promptTokenMs: endpoint.speed.promptTokenMs,
-      });
-    }
-    return tryChooseEndpoint(candidates, request, host.random);
-  }
-
   function tryPlace(state: PoolState, request: PlacementRequest): boolean {
-    const endpoint = tryChooseVersion(request);
+    const endpoint = chooser.tryChoose(request);
     if (endpoint === undefined) return false;
     host.rollouts?.recordPlacement(request.pool, endpoint.announcement.softwareVersion);
     recordPlacement(state, request);
--- a/test/unit/gateway/pacedEndpoints.test.ts
+++ b/test/unit/gateway/pacedEndpoints.test.ts
@@ -12,6 +12,7 @@
   type Scheduling,
 } from '../../../src/gateway/endpointTracker.js';
 import { createScheduler } from '../../../src/gateway/scheduler.js';
+import { createVersionOutcomes } from '../../../src/gateway/versionOutcomes.js';
 import type { AttemptFailure, ResponseHead } from '../../../src/gateway/types.js';
 import { GatewayReport } from '../../../src/generated/control.js';
 import { createEndpointRegistry } from '../../../src/registry/registry.js';
@@ -78,8 +79,10 @@
   const endpoint = gateway.getEndpoint('new');
   const { clock, tracker } = gateway;
   const route = createTestRoute({ objectiveMs: 400, pauseObjectiveMs: 300 });
-  const host = { clock, endpoints: tracker, heldBytes: createHeldBytes() };
-  const attempt = createAttempt(host, endpoint, 0, route);
+  const versionOutcomes = createVersionOutcomes({ isTracked: () => false, onBegun() {} });
+  const host = { clock, endpoints: tracker, heldBytes: createHeldBytes(), versionOutcomes };
+  const call = createTestCall({}, route);
+  const attempt = createAttempt(host, endpoint, call, { promptTokens: 0, outputTokens: 0 });
   const receive = (afterMs: number): void => {
     clock.advance(afterMs);
     attempt.recordBytes();
@@ -156,7 +159,7 @@
   it('is limited again when it returns from an ejection', () => {
     const { clock, tracker, getEndpoint } = startGateway();
     const endpoint = getEndpoint('known');
-    const attempt = { endpoint, head: undefined, sentAt: clock.now() };
+    const attempt = { endpoint, head: undefined, recordFailure() {}, sentAt: clock.now() };
     const failure: AttemptFailure = { kind: 'unknown', reason: 'broken' };
     for (let count = 0; count < 3; count += 1) recordAttemptFailure(attempt, failure, clock.now());
     assert.ok(endpoint.health.isEjected);
--- a/test/unit/gateway/peerLoads.test.ts
+++ b/test/unit/gateway/peerLoads.test.ts
@@ -14,6 +14,8 @@
     unreadTokens,
     rateStatement: undefined,
     pace: undefined,
+    speed: undefined,
+    slowdown: undefined,
   };
   return { gatewayId, incarnation: '1', loads: [load], uses: [], waiting: 0, versionOutcomes: [] };
 }
--- a/test/unit/gateway/placement.test.ts
+++ b/test/unit/gateway/placement.test.ts
@@ -2,7 +2,11 @@
 
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { tryChooseEndpoint } from '../../../src/gateway/placement.js';
+import {
+  LoadPlacement,
+  tryChooseEndpoint,
+  type PlacementDemand,
+} from '../../../src/gateway/placement.js';
 import { createRandom } from '../../fixtures/random.js';
 
 const ENGINES = 8;
@@ -21,6 +25,21 @@
   busyUntil: number;
 }
 
+/** Properties of a candidate that this policy does not use. */
+const unused = { outputTokenMs: undefined, pauseMs: undefined, slowdown: 1, isLocal: true };
+const policy = new LoadPlacement();
+
+function createDemand(): PlacementDemand {
+  return {
+    relativeWork: 1,
+    promptTokens: 0,
+    outputTokens: 0,
+    objectiveMs: OBJECTIVE_MS,
+    pauseObjectiveMs: 0,
+    remainingMs: Number.POSITIVE_INFINITY,
+  };
+}
+
 /** Simulates a mixed load and returns the share of short requests that miss their objective. */
 function simulateLateShare(seed: number, seesUnread: boolean): number {
   const random = createRandom(seed);
@@ -37,9 +56,11 @@
       chunkIntervalMs: 20,
       unreadTokens: seesUnread ? Math.max(0, engine.busyUntil - now) / PROMPT_TOKEN_MS : 0,
       promptTokenMs: PROMPT_TOKEN_MS,
+      ...unused,
     }));
-    const demand = { relativeWork: 1, promptTokens, objectiveMs: OBJECTIVE_MS };
-    const engine = tryChooseEndpoint(candidates, demand, random) ?? assert.fail('all are full');
+    const demand = { ...createDemand(), promptTokens };
+    const engine =
+      tryChooseEndpoint(candidates, demand, random, policy) ?? assert.fail('all are full');
     engine.busyUntil = Math.max(now, engine.busyUntil) + promptTokens * PROMPT_TOKEN_MS;
     if (promptTokens === LONG_TOKENS) continue;
     short += 1;
@@ -65,10 +86,10 @@
       chunkIntervalMs: undefined,
       unreadTokens: 0,
       promptTokenMs: undefined,
+      ...unused,
     }));
-    const demand = { relativeWork: 1, promptTokens: 0, objectiveMs: OBJECTIVE_MS };
     assert.equal(
-      tryChooseEndpoint(candidates, demand, () => 0),
+      tryChooseEndpoint(candidates, createDemand(), () => 0, policy),
       4,
     );
   });
