--- a/src/keeper/rolloutJudge.ts
+++ b/src/keeper/rolloutJudge.ts
@@ -73,11 +73,11 @@
 /** Streams take up to about 15 s. */
 const MAX_DRAIN_MS = 16_000;
 const MIN_DRAIN_MS = 2_000;
-const MAX_DRAIN_PART = 0.45;
+const MAX_DRAIN_PART = 0.5;
 /** Part of the time that old requests take to end which is left at the last chance. */
 const LAST_CHANCE_PART = 0.75;
 /** The longest responses of a route, in parts of its mean. */
-const LONGEST_PER_MEAN = 6;
+const LONGEST_PER_MEAN = 8;
 /** Responses of a route from which on its mean counts. */
 const MIN_MEAN_RESPONSES = 5;
 /** Answers of the new version, over all routes and on each with traffic, that allow a step. */
--- a/test/unit/keeper/rolloutJudge.test.ts
+++ b/test/unit/keeper/rolloutJudge.test.ts
@@ -32,12 +32,12 @@
 }
 
 /** A good version that is reverted, completed late, or whose completion cuts requests off. */
-function checkCompleted(plan: Plan, maxCut = 0): void {
+function checkCompleted(plan: Plan): void {
   for (const [index, result] of run(plan).entries()) {
     const text = `seed ${index + 1}: ${JSON.stringify(result)}`;
     assert.equal(result.state, 'completed', text);
     assert.ok(result.endedAtMs < (plan.durationMs ?? DURATION_MS), text);
-    assert.ok(result.oldRunning <= maxCut, text);
+    assert.equal(result.oldRunning, 0, text);
   }
 }
 
@@ -81,23 +81,21 @@
 });
 
 describe('a good version is completed by the deadline', () => {
-  // Streams take up to 15 s; those that began just before the last step may not have ended.
-  it('beside engines of unlike speeds that are slowed at times', () => checkCompleted({}, 1));
+  it('beside engines of unlike speeds that are slowed at times', () => checkCompleted({}));
 
   it('with few requests or none', () => {
-    checkCompleted({ perSecond: 3 }, 1);
+    checkCompleted({ perSecond: 3 });
     checkCompleted({ perSecond: 0.3 });
     checkCompleted({ perSecond: 0.001 });
   });
 
-  it('although one of its endpoints is slow by itself', () =>
-    checkCompleted({ slowEndpoint: 6 }, 1));
+  it('although one of its endpoints is slow by itself', () => checkCompleted({ slowEndpoint: 6 }));
 
   it('although one of its endpoints ends with all that it runs', () => {
-    checkCompleted({ crashAtMs: 38_000 }, 1);
-    checkCompleted({ crashAtMs: 48_000 }, 1);
+    checkCompleted({ crashAtMs: 38_000 });
+    checkCompleted({ crashAtMs: 48_000 });
   });
 
   // Its counts began anew, which must not take away what the others have seen.
-  it('although a gateway restarts', () => checkCompleted({ restartAtMs: 20_000 }, 1));
+  it('although a gateway restarts', () => checkCompleted({ restartAtMs: 20_000 }));
 });
