Keep one account of what a process holds for its clients

Cause: chunks of one byte waited as objects of their own in the stream of a request, pipelined requests were read and started without a bound, and separate counts of bodies and of unread answers knew nothing of heads, requests and connections.

Change: clientMemory is the one account; heldBytes and memoryShare are merged into it, and bodyReader, bodyAdmission and unreadResponses use it. requestBody copies small chunks together from the first byte on. clientConnections counts connections, heads and requests, starts at most maxPipelinedRequests of a connection at once (8 on keepers), reads no further until half of them have ended, and closes the connections that hold most while the account is exceeded. Connections with bodies in small chunks or full pipelines are read one in a turn of the event loop, so that others are served in between. A body that stalls while others wait for room is refused.

Tests: createHeldBytes and the settings of bodyReader and bodyAdmission are replaced by the account; what these tests check is unchanged.

--- a/src/common/bodyAdmission.ts
+++ b/src/common/bodyAdmission.ts
@@ -5,8 +5,8 @@
 
 import type { IncomingMessage } from 'node:http';
 import PQueue from 'p-queue';
+import type { ClientMemory } from './clientMemory.js';
 import { RaisedFailure } from './failure.js';
-import type { Logger } from './logging.js';
 
 const MAX_LARGE_BODIES = 4;
 /** Bodies up to this size are admitted at once, however many there are. */
@@ -15,6 +15,8 @@
 const SMALL_BODY_BYTES = 512 * 1024;
 /** Room for small bodies; those beyond it wait as large ones do. */
 const SMALL_BODY_ROOM_BYTES = 16 * 1024 * 1024;
+/** Largest body of an operator; one in chunks may have any size up to that. */
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
 /** Longest wait for admission; a caller that is refused has time to ask another process. */
 const MAX_WAIT_MS = 2_000;
 const RETRY_AFTER_MS = 1_000;
@@ -30,10 +32,11 @@
   run<Result>(request: IncomingMessage, handle: () => Promise<Result>): Promise<Result>;
 }
 
-export function createBodyAdmission(logger: Logger): BodyAdmission {
+export function createBodyAdmission(memory: ClientMemory): BodyAdmission {
+  const { bodies, logger } = memory;
   const queue = new PQueue({ concurrency: MAX_LARGE_BODIES });
-  /** Announced bytes of the small bodies that are being handled. */
-  let smallBytes = 0;
+  /** Part of the account that large bodies take; the room of small ones does not depend on it. */
+  let largeBytes = 0;
 
   return { run };
 
@@ -43,27 +46,42 @@
   ): Promise<Result> {
     const bytes = getAnnouncedBytes(request);
     if (bytes <= TINY_BODY_BYTES) return handleInTime(request, handle);
-    const hasRoom = smallBytes + bytes <= SMALL_BODY_ROOM_BYTES;
+    const smallBytes = bodies.total - largeBytes;
+    const hasRoom = bodies.hasRoom(bytes) && smallBytes + bytes <= SMALL_BODY_ROOM_BYTES;
     return bytes <= SMALL_BODY_BYTES && hasRoom
-      ? handleSmall(request, bytes, handle)
-      : handleInTurn(request, handle);
+      ? handleCounted(request, bytes, handle)
+      : handleInTurn(request, Math.min(bytes, MAX_BODY_BYTES), handle);
   }
 
-  async function handleSmall<Result>(
+  async function handleCounted<Result>(
     request: IncomingMessage,
     bytes: number,
     handle: () => Promise<Result>,
   ): Promise<Result> {
-    smallBytes += bytes;
+    bodies.add(bytes);
     try {
       return await handleInTime(request, handle);
     } finally {
-      smallBytes -= bytes;
+      bodies.add(-bytes);
+    }
+  }
+
+  async function handleLarge<Result>(
+    request: IncomingMessage,
+    bytes: number,
+    handle: () => Promise<Result>,
+  ): Promise<Result> {
+    largeBytes += bytes;
+    try {
+      return await handleCounted(request, bytes, handle);
+    } finally {
+      largeBytes -= bytes;
     }
   }
 
   async function handleInTurn<Result>(
     request: IncomingMessage,
+    bytes: number,
     handle: () => Promise<Result>,
   ): Promise<Result> {
     const waiting = new AbortController();
@@ -71,7 +89,7 @@
     return queue.add(
       () => {
         clearTimeout(waitTimer);
-        return handleInTime(request, handle);
+        return handleLarge(request, bytes, handle);
       },
       { signal: waiting.signal },
     );
@@ -79,6 +97,7 @@
 
   function refuse({ url: path = '' }: IncomingMessage, waiting: AbortController): void {
     logger.event('bodyRefused', { path, running: queue.pending, waiting: queue.size });
+    memory.countLimited('bodyRoom');
     const retryAfterMs = RETRY_AFTER_MS;
     waiting.abort(new RaisedFailure({ kind: 'overloaded', retryAfterMs }));
   }
--- a/src/common/httpServer.ts
+++ b/src/common/httpServer.ts
@@ -10,10 +10,11 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Polka } from 'polka';
+import { limitClients, type ClientLimits } from './clientConnections.js';
 import { SystemClock } from './clock.js';
-import { raise } from './failure.js';
 import { hasAnnouncedEnd, keepUnsentResponses } from './idleConnections.js';
 import { retryListening, type ListenTarget } from './listening.js';
+import { getBodyCollector } from './requestBody.js';
 import { createRunningTime } from './runningTime.js';
 import { splitAddress } from './settings.js';
 
@@ -33,32 +34,9 @@
   return server;
 }
 
-/**
- * Reads the whole body. Raises `usage` if it is larger than `maxBytes` or incomplete. Nothing more is
- * read until `onRead`, which gets the number of bytes read so far, has resolved.
- */
-export async function readBody(
-  request: IncomingMessage,
-  maxBytes: number,
-  onRead: (size: number) => Promise<void> = () => Promise.resolve(),
-): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of request) {
-      const bytes = chunk as Buffer;
-      size += bytes.length;
-      if (size > maxBytes) break;
-      chunks.push(bytes);
-      await onRead(size);
-    }
-  } catch {
-    return raise({ kind: 'usage', message: 'the body was cut off' });
-  }
-  if (size > maxBytes) {
-    raise({ kind: 'usage', message: `the body is larger than ${maxBytes} bytes` });
-  }
-  return Buffer.concat(chunks);
+/** Reads the whole body. Raises `usage` if it is larger than `maxBytes` or incomplete. */
+export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer> {
+  return getBodyCollector(request).read(maxBytes, () => true);
 }
 
 /** Returns whether the headers announce a body. */
@@ -111,10 +89,15 @@
   close(): Promise<void>;
 }
 
+/** Where a server listens, and what its clients may make the process hold. */
+export interface ServerTarget extends ListenTarget {
+  clients?: ClientLimits | undefined;
+}
+
 /** Starts `app` like `listenOn`; its connections stay open for `keepAliveMs` between requests. */
 export async function startServer(
   app: Polka,
-  target: ListenTarget,
+  target: ServerTarget,
   keepAliveMs = DEFAULT_KEEP_ALIVE_MS,
 ): Promise<RunningServer> {
   const unanswerable = new WeakSet<IncomingMessage>();
@@ -126,6 +109,7 @@
   let isClosing = false;
   server.keepAliveTimeout = keepAliveMs;
   keepUnsentResponses(server);
+  const clients = target.clients && limitClients(server, target.clients);
   server.on('connection', (socket) => {
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
@@ -151,7 +135,11 @@
   return { close: () => close(server) };
 
   function handle(request: IncomingMessage, response: ServerResponse): void {
-    if (!unanswerable.has(request)) (app.handler as RequestListener)(request, response);
+    // What was read with a request that closed the connection is still parsed.
+    if (unanswerable.has(request) || request.socket.destroyed) return;
+    const turn = clients?.waitForStart(request);
+    if (turn === undefined) (app.handler as RequestListener)(request, response);
+    else void turn.then(() => (app.handler as RequestListener)(request, response));
   }
 
   function close(closing: Server): Promise<void> {
--- a/src/common/metricsRecorder.ts
+++ b/src/common/metricsRecorder.ts
@@ -4,6 +4,7 @@
 import polka from 'polka';
 import { metrics } from '../generated/metrics.js';
 import type { MetricsSettings } from '../generated/schemas.js';
+import type { ClientLimits } from './clientConnections.js';
 import { startServer } from './httpServer.js';
 import type { Logger } from './logging.js';
 import { splitAddress } from './settings.js';
@@ -32,11 +33,12 @@
 export async function createMetricsRecorder(
   settings: MetricsSettings | undefined,
   logger: Logger,
+  clients?: ClientLimits,
 ): Promise<MetricsRecorder> {
   const recorders: MetricsRecorder[] = [];
   if (settings?.statsd !== undefined) recorders.push(await createStatsdRecorder(settings.statsd));
   if (settings?.listen !== undefined) {
-    recorders.push(await createTextRecorder(settings.listen, logger));
+    recorders.push(await createTextRecorder(settings.listen, logger, clients));
   }
   return {
     count(name, value, tags) {
@@ -66,7 +68,11 @@
   };
 }
 
-async function createTextRecorder(address: string, logger: Logger): Promise<MetricsRecorder> {
+async function createTextRecorder(
+  address: string,
+  logger: Logger,
+  clients: ClientLimits | undefined,
+): Promise<MetricsRecorder> {
   const { default: prometheus } = await import('prom-client');
   const { Counter, Gauge, Histogram, Registry } = prometheus;
   const registry = new Registry();
@@ -90,7 +96,12 @@
     void registry.metrics().then((text) => response.end(text));
   });
   // A role serves without its metrics while their address is taken.
-  const starting = startServer(app, { logger, address, timeoutMs: Number.POSITIVE_INFINITY });
+  const starting = startServer(app, {
+    logger,
+    address,
+    timeoutMs: Number.POSITIVE_INFINITY,
+    clients,
+  });
   return {
     count: (name, value, tags = {}) => counters.get(name)?.inc(tags, value),
     gauge: (name, value, tags = {}) => gauges.get(name)?.set(tags, value),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,6 +3,7 @@
 import { randomUUID } from 'node:crypto';
 import { watchFile } from 'node:fs';
 import { parseArgs } from 'node:util';
+import { createClientMemory } from '../common/clientMemory.js';
 import { SystemClock } from '../common/clock.js';
 import { assertNever } from '../common/debug.js';
 import { describeFailure, raise, toFailure } from '../common/failure.js';
@@ -90,6 +91,12 @@
   process.on('uncaughtException', fail);
   process.on('unhandledRejection', fail);
   const { role } = settings;
+  const memory = createClientMemory({
+    memoryMb: settings.memoryMb,
+    clientMemoryMb: settings.clientMemoryMb,
+    logger,
+    onLimited: (reason) => metrics?.count('clientLimits', 1, { reason }),
+  });
   logger.event('processStarting', { role, incarnation });
   const pauseMonitor = startPauseMonitor(clock, logger);
   const lifecycle = startLifecycle({
@@ -98,7 +105,7 @@
     getSignalledAt: () => pauseMonitor.getEarliestArrivalAt(),
     stopTimeoutMs: getStopTimeoutMs(settings),
     async start(stopping) {
-      metrics = await createMetricsRecorder(settings.metrics, logger);
+      metrics = await createMetricsRecorder(settings.metrics, logger, { memory });
       return startRole(metrics, stopping);
     },
     onStarted: () => logger.event('processStarted', { role, incarnation }),
@@ -130,13 +137,13 @@
       }
       case 'keeper': {
         const { startKeeper } = await import('./keeperProcess.js');
-        return startKeeper(settings, clock, logger, recorder, fail, stopping, adapter);
+        return startKeeper(settings, clock, logger, recorder, fail, stopping, adapter, memory);
       }
       case 'gateway': {
         const { startGateway } = await import('./gatewayProcess.js');
         const { dialect } =
           adapter ?? raise({ kind: 'usage', message: 'a gateway needs an adapter' });
-        return startGateway(settings, incarnation, clock, logger, recorder, dialect);
+        return startGateway(settings, incarnation, clock, logger, recorder, dialect, memory);
       }
       default:
         return assertNever(settings);
--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -1,10 +1,10 @@
 /** The gateway role: feed from the keepers, endpoints, callers' server, and the readiness probe. */
 
 import polka from 'polka';
+import type { ClientMemory } from '../common/clientMemory.js';
 import type { Clock } from '../common/clock.js';
 import { delay } from '../common/delay.js';
 import { awaitTurns } from '../common/eventLoop.js';
-import { createHeldBytes } from '../common/heldBytes.js';
 import { startServer } from '../common/httpServer.js';
 import type { Logger } from '../common/logging.js';
 import type { MetricsRecorder } from '../common/metricsRecorder.js';
@@ -59,6 +59,7 @@
   logger: Logger,
   metrics: MetricsRecorder,
   dialect: Dialect,
+  memory: ClientMemory,
 ): Promise<RunningProcess> {
   const { gateway } = settings;
   const now = (): number => clock.now();
@@ -109,8 +110,14 @@
       crashSuspects.recordCrash(announcement, interrupted);
     },
   });
-  const heldBytes = createHeldBytes(settings.memoryMb);
-  const unread = createUnreadResponses({ logger, now, heldBytes });
+  const heldBytes = memory.responses;
+  const unread = createUnreadResponses({
+    logger,
+    now,
+    heldBytes,
+    onClosed: () => memory.countLimited('unreadResponses'),
+  });
+  const clients = { memory, maxPipelinedRequests: gateway.maxPipelinedRequests };
   const scheduler = createScheduler({
     now,
     random: Math.random,
@@ -152,13 +159,18 @@
     response.statusCode = isReady() ? 200 : 503;
     response.end();
   });
-  const readinessServer = await startServer(readiness, { logger, address: gateway.readyListen });
+  const readinessServer = await startServer(readiness, {
+    logger,
+    address: gateway.readyListen,
+    clients,
+  });
   // Last, as a start that waits for an address can stop without a drain only while no calls arrive.
   const callServer = await startCallServer({
     clock,
     logger,
     dialect,
     listen: gateway.listen,
+    clients,
     random: Math.random,
     table: tableView,
     tryGetLimits: () => limits,
@@ -188,7 +200,7 @@
     unread,
     bodies: createBodyReader({
       clock,
-      memoryMb: settings.memoryMb,
+      memory,
       tryGetMaxBytes: () => limits?.maxBodyBytes,
     }),
     drain,
--- a/src/daemon/keeperControl.ts
+++ b/src/daemon/keeperControl.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import type { Metadata } from '@grpc/grpc-js';
 import type { BodyAdmission } from '../common/bodyAdmission.js';
+import type { ClientLimits } from '../common/clientConnections.js';
 import type { Clock } from '../common/clock.js';
 import { describeFailure, toFailure } from '../common/failure.js';
 import type { Logger } from '../common/logging.js';
@@ -40,6 +41,7 @@
   metadata: Metadata;
   peers: Peers;
   bodies: BodyAdmission;
+  clients: ClientLimits;
   adapter: Adapter | undefined;
   getSeeds(): readonly string[];
   tryGetReplica(): RunningReplica | undefined;
@@ -120,6 +122,7 @@
           listen: controlListen,
           authority,
           bodies: host.bodies,
+          clients: host.clients,
           announce,
           listAnnouncements: (endpointId) => registry.listOf(endpointId),
         });
--- a/src/daemon/keeperProcess.ts
+++ b/src/daemon/keeperProcess.ts
@@ -2,6 +2,7 @@
 
 import { join } from 'node:path';
 import { createBodyAdmission } from '../common/bodyAdmission.js';
+import type { ClientMemory } from '../common/clientMemory.js';
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logging.js';
 import type { MetricsRecorder } from '../common/metricsRecorder.js';
@@ -30,6 +31,8 @@
 import type { Adapter, RunningProcess } from './types.js';
 
 const MEMBERSHIP_REPAIR_INTERVAL_MS = 200;
+/** Most requests are confirmed by a majority first, and wait for those of all connections. */
+const MAX_PIPELINED_REQUESTS = 8;
 
 export async function startKeeper(
   settings: KeeperProcessSettings,
@@ -39,6 +42,7 @@
   onFatal: (caught: unknown) => void,
   stopping: AbortSignal,
   adapter: Adapter | undefined,
+  memory: ClientMemory,
 ): Promise<RunningProcess> {
   const folder = join(settings.keeper.dataFolder, 'keeper');
   let store = await openOrReplaceStore(folder, clock, logger, stopping);
@@ -76,10 +80,12 @@
   });
   const server = createServer();
   server.addService(KeeperService, service);
-  const bodies = createBodyAdmission(logger);
+  const bodies = createBodyAdmission(memory);
+  const clients = { memory, maxPipelinedRequests: MAX_PIPELINED_REQUESTS };
   const operatorApi = await startOperatorApi({
     settings,
     bodies,
+    clients,
     clock,
     logger,
     sessions,
@@ -94,6 +100,7 @@
     metadata,
     peers,
     bodies,
+    clients,
     adapter,
     getSeeds: () => seeds,
     tryGetReplica: () => replica,
--- a/src/daemon/types.ts
+++ b/src/daemon/types.ts
@@ -1,6 +1,7 @@
 /** Interfaces between the daemon, its roles and platform adapters. */
 
 import type { BodyAdmission } from '../common/bodyAdmission.js';
+import type { ClientLimits } from '../common/clientConnections.js';
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logging.js';
 import type { ProcessSettings } from '../common/settings.js';
@@ -29,6 +30,7 @@
   authority: TableAuthority;
   /** Admits the bodies of all operators' calls. */
   bodies: BodyAdmission;
+  clients: ClientLimits;
   /** Registers an announcement and forwards it to all gateways, unless it is not valid. */
   announce(announcement: Announcement): MergeOutcome;
   /** Returns the newest announcement of an endpoint in each pool that it has named. */
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt to have an endpoint serve a request: the response so far and its load accounting. */
 
 import type { Clock } from '../common/clock.js';
-import type { HeldBytes } from '../common/heldBytes.js';
+import type { MemoryPart } from '../common/clientMemory.js';
 import type { Endpoint, EndpointTracker } from './endpointTracker.js';
 import type { Exchange } from './endpointClient.js';
 import type { WatchedAttempt } from './stallDetector.js';
@@ -16,7 +16,7 @@
 export interface AttemptHost {
   clock: Clock;
   endpoints: EndpointTracker;
-  heldBytes: HeldBytes;
+  heldBytes: MemoryPart;
 }
 
 /** An attempt in progress. */
--- a/src/gateway/bodyReader.ts
+++ b/src/gateway/bodyReader.ts
@@ -3,17 +3,14 @@
  * is no room stays in its connection; its request is refused if none becomes free in time.
  */
 
-import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '../common/clock.js';
 import { callAt } from '../common/delay.js';
-import { RaisedFailure } from '../common/failure.js';
-import { hasBody, readBody } from '../common/httpServer.js';
-import { bytesPerMb, getMemoryShareBytes } from '../common/memoryShare.js';
+import { bytesPerMb, type ClientMemory } from '../common/clientMemory.js';
+import { hasBody } from '../common/httpServer.js';
+import { getBodyCollector, type BodyCollector } from '../common/requestBody.js';
 import type { LocalReply } from './responseWriter.js';
 
-/** Part of the memory; a body is joined from its parts, and the parts are freed some time later. */
-const BODY_SHARE = 1 / 6;
 /** Limit while the routing table states none. */
 const DEFAULT_MAX_BYTES = 4 * bytesPerMb;
 /** Longest wait for room; a caller that is refused has time to ask another gateway. */
@@ -21,6 +18,10 @@
 const RETRY_AFTER_MS = 1_000;
 /** Room that is taken at first for a body whose length is not announced. */
 const UNKNOWN_LENGTH_BYTES = 64 * 1024;
+/** Interval at which bodies are checked for progress while others wait for room. */
+const PROGRESS_INTERVAL_MS = 250;
+/** Checks without progress after which a body may be refused for others. */
+const MAX_STALLED_CHECKS = 2;
 
 /** A body, or the reply to a request that has none; `left` if its caller takes no reply any more. */
 export type BodyResult =
@@ -34,7 +35,7 @@
 /** Dependencies. */
 export interface BodyReaderHost {
   clock: Clock;
-  memoryMb: number | undefined;
+  memory: ClientMemory;
   /** Largest body that the routing table allows. */
   tryGetMaxBytes(): number | undefined;
 }
@@ -61,15 +62,26 @@
   take(bytes: number): void;
 }
 
+/** A body of which a part has arrived. */
+interface ArrivingBody {
+  collector: BodyCollector;
+  /** Whether the rest is not read for lack of room. */
+  isWaiting: boolean;
+  sizeBefore: number;
+  stalledChecks: number;
+  refuse(): void;
+}
+
 /** A body that waits for room. */
 interface WaitingBody extends Pick<NeededRoom, 'ownBytes' | 'bytes'> {
   admit(): void;
 }
 
-export function createBodyReader({ clock, memoryMb, tryGetMaxBytes }: BodyReaderHost): BodyReader {
-  const limit = getMemoryShareBytes(memoryMb, BODY_SHARE);
+export function createBodyReader({ clock, memory, tryGetMaxBytes }: BodyReaderHost): BodyReader {
+  const { bodies } = memory;
   const waiting = new Set<WaitingBody>();
-  let takenBytes = 0;
+  const arriving = new Set<ArrivingBody>();
+  let progressTimer: NodeJS.Timeout | undefined;
 
   return { read };
 
@@ -96,7 +108,7 @@
     const bytes = getAnnouncedBytes(request) ?? Math.min(maxBytes, UNKNOWN_LENGTH_BYTES);
     if (bytes > maxBytes) return refuse(413, 'the body is too large');
     const room = createRoom(response);
-    if (!(await room.extend(bytes, getWaitEnd(deadline)))) return noRoom;
+    if (!(await room.extend(bytes, getWaitEnd(deadline)))) return refuseForRoom();
     return readInTime(request, response, room, maxBytes, deadline);
   }
 
@@ -119,13 +131,13 @@
 
     // In one step with the admission: the response may close before a promise shows it.
     function take(bytes: number): void {
-      takenBytes += bytes;
+      bodies.add(bytes);
       ownBytes += bytes;
     }
 
     function shrink(bytes: number): void {
       if (bytes >= ownBytes) return;
-      takenBytes -= ownBytes - bytes;
+      bodies.add(bytes - ownBytes);
       ownBytes = bytes;
       admitWaiting();
     }
@@ -142,6 +154,7 @@
       response.once('close', cancel);
       waiting.add(body);
       admitWaiting();
+      if (waiting.size > 0) progressTimer ??= setInterval(checkProgress, PROGRESS_INTERVAL_MS);
 
       function admit(): void {
         take(bytes);
@@ -165,7 +178,7 @@
   /** Admits in the order of arrival; one body alone always has room. */
   function admitWaiting(): void {
     for (const { ownBytes, bytes, admit } of waiting) {
-      if (takenBytes > ownBytes && takenBytes + bytes > limit) return;
+      if (bodies.total > ownBytes && !bodies.hasRoom(bytes)) return;
       admit();
     }
   }
@@ -177,6 +190,7 @@
     maxBytes: number,
     deadline: number,
   ): Promise<BodyResult> {
+    const collector = getBodyCollector(request);
     let refuseLate: (result: BodyResult) => void = () => {};
     const refused = new Promise<BodyResult>((resolve) => {
       refuseLate = (result) => {
@@ -184,33 +198,76 @@
         resolve(result);
       };
     });
+    const body: ArrivingBody = {
+      collector,
+      isWaiting: false,
+      sizeBefore: 0,
+      stalledChecks: 0,
+      refuse() {
+        memory.countLimited('stalledBody');
+        refuseLate(noRoom);
+      },
+    };
     const cancel = callAt(clock, deadline, () =>
       refuseLate(refuse(408, 'the body did not arrive in time')),
     );
     request.once('close', cancel);
     request.once('end', cancel);
-    const whole = readWhole(request, maxBytes, async (size) => {
-      if (await room.extend(size, getWaitEnd(deadline))) return;
-      refuseLate(noRoom);
-      // The reply would be lost if the request ended before it.
-      await once(request, 'close');
-    });
+    let ownBytes = UNKNOWN_LENGTH_BYTES;
+    const whole = readWhole(collector, maxBytes, (size) => size <= ownBytes || extend(size));
+    arriving.add(body);
     const result = await Promise.race([whole, refused]);
+    arriving.delete(body);
     room.shrink(result.kind === 'body' ? result.body.length : 0);
     return result;
+
+    /** Takes room for more than has arrived; nothing is read until there is some. */
+    function extend(size: number): boolean {
+      ownBytes = Math.max(size, Math.min(size + UNKNOWN_LENGTH_BYTES, maxBytes));
+      body.isWaiting = true;
+      void room.extend(ownBytes, getWaitEnd(deadline)).then((hasRoom) => {
+        body.isWaiting = false;
+        if (hasRoom) collector.resume();
+        // The reply would be lost if the request ended before it.
+        else refuseLate(refuseForRoom());
+      });
+      return false;
+    }
+  }
+
+  function refuseForRoom(): BodyResult {
+    memory.countLimited('bodyRoom');
+    return noRoom;
+  }
+
+  /** Refuses the largest of the bodies of which nothing has arrived for a while. */
+  function checkProgress(): void {
+    if (waiting.size === 0) {
+      clearInterval(progressTimer);
+      progressTimer = undefined;
+      return;
+    }
+    let largest: ArrivingBody | undefined;
+    for (const body of arriving) {
+      const { size } = body.collector;
+      body.stalledChecks = body.isWaiting || size > body.sizeBefore ? 0 : body.stalledChecks + 1;
+      body.sizeBefore = size;
+      if (body.stalledChecks < MAX_STALLED_CHECKS) continue;
+      if (largest === undefined || size > largest.collector.size) largest = body;
+    }
+    largest?.refuse();
   }
 }
 
 async function readWhole(
-  request: IncomingMessage,
+  collector: BodyCollector,
   maxBytes: number,
-  onRead: (size: number) => Promise<void>,
+  tryReserve: (size: number) => boolean,
 ): Promise<BodyResult> {
   try {
-    return { kind: 'body', body: await readBody(request, maxBytes, onRead) };
-  } catch (caught) {
-    const isTooLarge = caught instanceof RaisedFailure;
-    return isTooLarge
+    return { kind: 'body', body: await collector.read(maxBytes, tryReserve) };
+  } catch {
+    return collector.size > maxBytes
       ? refuse(413, 'the body is too large')
       : refuse(400, 'the body could not be read');
   }
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -5,7 +5,7 @@
 
 import type { Clock } from '../common/clock.js';
 import { callAt } from '../common/delay.js';
-import type { HeldBytes } from '../common/heldBytes.js';
+import type { MemoryPart } from '../common/clientMemory.js';
 import type { Logger } from '../common/logging.js';
 import type { StreamOrigin } from '../generated/control.js';
 import { createAttempt, type Attempt } from './attempt.js';
@@ -37,7 +37,7 @@
   crashDetector: CrashDetector;
   crashSuspects: CrashSuspects;
   drain: Pick<Drain, 'mayBegin'>;
-  heldBytes: HeldBytes;
+  heldBytes: MemoryPart;
   /** Shares where a stream of this gateway begins; resolves when others will get to know it. */
   shareStreamOrigin(origin: StreamOrigin): Promise<void>;
   /** Called once when the call has ended. */
--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import polka from 'polka';
+import { limitClients, type ClientLimits } from '../common/clientConnections.js';
 import type { Clock } from '../common/clock.js';
 import { awaitTurns } from '../common/eventLoop.js';
 import { createHttpServer, listenOn } from '../common/httpServer.js';
@@ -36,6 +37,7 @@
   dialect: Dialect;
   /** host:port. */
   listen: string;
+  clients: ClientLimits;
   random(): number;
   /** The routing table; its properties change over time. */
   table: TableState;
@@ -75,6 +77,7 @@
     connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     noDelay: true,
   });
+  const clients = limitClients(server, host.clients);
   keepUnsentResponses(server);
   server.on('connection', applyLimits);
   const app = polka({ server });
@@ -106,6 +109,8 @@
     const { socket } = request;
     // Its caller has sent it before it has read that the connection ends with an earlier response.
     if (closingSockets.has(socket)) return;
+    // What was read with a request that closed the connection is still parsed.
+    if (socket.destroyed) return;
     const arrivedAt = clock.now();
     newestResponses.set(socket, response);
     openCount += 1;
@@ -122,6 +127,8 @@
           : 'the caller closed the connection',
       );
     });
+    const turn = clients.waitForStart(request);
+    if (turn !== undefined) await turn;
     const writer = createResponseWriter(
       {
         unread: host.unread,
--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -3,7 +3,7 @@
  * endpoint after any event.
  */
 
-import type { HeldBytes } from '../common/heldBytes.js';
+import type { MemoryPart } from '../common/clientMemory.js';
 import type { Route } from '../routing/types.js';
 
 const EVENT_END = Buffer.from('\n\n');
@@ -35,14 +35,14 @@
 /** Creates what a route's responses are passed on by; undefined if they are no streams. */
 export function createSplitter(
   { kind, isResumable }: Pick<Route, 'kind' | 'isResumable'>,
-  heldBytes: HeldBytes,
+  heldBytes: MemoryPart,
 ): EventSplitter | undefined {
   if (kind !== 'stream') return undefined;
   return isResumable ? createEventSplitter(heldBytes) : createEventObserver();
 }
 
 /** Creates a splitter for a new stream. */
-export function createEventSplitter(heldBytes: HeldBytes): EventSplitter {
+export function createEventSplitter(heldBytes: MemoryPart): EventSplitter {
   /** Pieces of an incomplete event. They are joined only once, when the event is complete. */
   let pieces: Buffer[] = [];
   let bufferedBytes = 0;
--- a/src/gateway/unreadResponses.ts
+++ b/src/gateway/unreadResponses.ts
@@ -6,7 +6,7 @@
 
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { HeldBytes } from '../common/heldBytes.js';
+import type { MemoryPart } from '../common/clientMemory.js';
 import type { Logger } from '../common/logging.js';
 import { createRunningTime } from '../common/runningTime.js';
 import { describeSendProgress } from '../common/sendProgress.js';
@@ -29,7 +29,9 @@
 export interface UnreadResponsesHost {
   logger: Logger;
   now(): number;
-  heldBytes: HeldBytes;
+  heldBytes: MemoryPart;
+  /** Called for each connection that is closed. */
+  onClosed(): void;
 }
 
 /** Responses whose callers have not read all of what has been written. */
@@ -126,6 +128,7 @@
         heldBytes: heldBytes.total,
         stalledMs: Math.round(runningTime.now - progressAt),
       });
+      host.onClosed();
       closed.add(socket);
       socket.destroy();
       heldBytes.add(-unsentBytes);
--- a/src/keeper/operatorApi.ts
+++ b/src/keeper/operatorApi.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import polka from 'polka';
 import type { BodyAdmission } from '../common/bodyAdmission.js';
+import type { ClientLimits } from '../common/clientConnections.js';
 import type { Clock } from '../common/clock.js';
 import { delay } from '../common/delay.js';
 import { describeFailure, raise, toFailure, type Failure } from '../common/failure.js';
@@ -32,6 +33,7 @@
   logger: Logger;
   sessions: Sessions;
   bodies: BodyAdmission;
+  clients: ClientLimits;
   tryGetReplica(): RunningReplica | undefined;
 }
 
@@ -59,7 +61,8 @@
   route('post', '/v1/undrain/:id', (_request, { id }) => drain(id ?? '', false));
   route('post', '/v1/snapshot', async () => ({ index: await getReplica().snapshot() }));
 
-  return startServer(app, { logger: host.logger, address: host.settings.keeper.operatorListen });
+  const { logger, clients } = host;
+  return startServer(app, { logger, address: host.settings.keeper.operatorListen, clients });
 
   function route(method: 'get' | 'post', path: string, handle: Handler): void {
     app[method](path, async (request, response) => {
--- a/test/unit/common/bodyAdmission.test.ts
+++ b/test/unit/common/bodyAdmission.test.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage } from 'node:http';
 import { describe, it } from 'node:test';
 import { createBodyAdmission } from '../../../src/common/bodyAdmission.js';
+import { createClientMemory } from '../../../src/common/clientMemory.js';
 import { delay } from '../../../src/common/delay.js';
 import { toFailure } from '../../../src/common/failure.js';
 
@@ -13,7 +14,7 @@
 
 /** Admits bodies; each is handled until `finish` is called with its name. */
 function createSubject() {
-  const admission = createBodyAdmission({ event() {} });
+  const admission = createBodyAdmission(createClientMemory());
   const started: string[] = [];
   const finishers = new Map<string, () => void>();
   const admit = (name: string, headers: IncomingMessage['headers']): Promise<string> => {
@@ -78,7 +79,7 @@
   });
 
   it('that fail make room for others', async () => {
-    const admission = createBodyAdmission({ event() {} });
+    const admission = createBodyAdmission(createClientMemory());
     const request = { headers: LARGE, complete: true } as IncomingMessage;
     for (let count = 0; count < 6; count += 1) {
       const failing = admission.run(request, () => Promise.reject(new TypeError('cut off')));
--- a/test/unit/gateway/bodyReader.test.ts
+++ b/test/unit/gateway/bodyReader.test.ts
@@ -5,6 +5,7 @@
 import { EventEmitter, once } from 'node:events';
 import { PassThrough } from 'node:stream';
 import { describe, it } from 'node:test';
+import { createClientMemory } from '../../../src/common/clientMemory.js';
 import { SystemClock } from '../../../src/common/clock.js';
 import { createBodyReader } from '../../../src/gateway/bodyReader.js';
 
@@ -17,7 +18,7 @@
   const clock = new SystemClock();
   const reader = createBodyReader({
     clock,
-    memoryMb: MEMORY_MB,
+    memory: createClientMemory({ memoryMb: MEMORY_MB }),
     tryGetMaxBytes: () => MAX_BODY_BYTES,
   });
 
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
 import { delay } from '../../../src/common/delay.js';
-import { createHeldBytes } from '../../../src/common/heldBytes.js';
+import { createClientMemory } from '../../../src/common/clientMemory.js';
 import type { ResponseHandler } from '../../../src/gateway/endpointClient.js';
 import {
   ARRIVED_AT,
@@ -140,7 +140,7 @@
 
   // The events were dropped, and the next attempt went on after them.
   it('passes on the events that arrive together with one that is too long', () => {
-    const heldBytes = createHeldBytes();
+    const heldBytes = createClientMemory().responses;
     heldBytes.add(heldBytes.limit + 1);
     started = startHandler('stream', 2, { heldBytes });
     started.place();
--- a/test/unit/gateway/eventSplitter.test.ts
+++ b/test/unit/gateway/eventSplitter.test.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createHeldBytes } from '../../../src/common/heldBytes.js';
+import { createClientMemory } from '../../../src/common/clientMemory.js';
 import { createEventObserver, createEventSplitter } from '../../../src/gateway/eventSplitter.js';
 
 const stream = 'id: 1\ndata: one\n\nid: 2\ndata: an id: 9 in data\n\nid: 13\ndata: x\n\n';
@@ -13,7 +13,7 @@
 describe('an event splitter', () => {
   it('returns only complete events, for chunks of any size', () => {
     for (let size = 1; size <= stream.length; size += 1) {
-      const splitter = createEventSplitter(createHeldBytes());
+      const splitter = createEventSplitter(createClientMemory().responses);
       let passed = '';
       for (let at = 0; at < stream.length; at += size) {
         passed += splitter.push(Buffer.from(stream.slice(at, at + size)))?.toString() ?? '';
@@ -26,7 +26,7 @@
   });
 
   it('resumes after the last complete event', () => {
-    const splitter = createEventSplitter(createHeldBytes());
+    const splitter = createEventSplitter(createClientMemory().responses);
     splitter.push(Buffer.from('id: 1\ndata: one\n\nid: 2\nda'));
     assert.equal(splitter.lastEventId, '1');
     assert.equal(splitter.hasPartialEvent, true);
@@ -37,7 +37,7 @@
   });
 
   it('splits between the two newlines that end an event', () => {
-    const splitter = createEventSplitter(createHeldBytes());
+    const splitter = createEventSplitter(createClientMemory().responses);
     assert.equal(splitter.push(Buffer.from('id: 1\ndata: a\n')), undefined);
     assert.equal(String(splitter.push(Buffer.from('\nid: 2\n'))), 'id: 1\ndata: a\n\n');
     assert.equal(splitter.lastEventId, '1');
@@ -46,7 +46,7 @@
   });
 
   it('reports an event without end, and takes time in proportion to its bytes', () => {
-    const splitter = createEventSplitter(createHeldBytes());
+    const splitter = createEventSplitter(createClientMemory().responses);
     const chunk = Buffer.alloc(1024, 'x');
     const startedAt = performance.now();
     for (let count = 0; count < 32 * 1024; count += 1) splitter.push(chunk);
--- a/test/unit/gateway/unreadResponses.test.ts
+++ b/test/unit/gateway/unreadResponses.test.ts
@@ -5,7 +5,7 @@
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { delay } from '../../../src/common/delay.js';
-import { createHeldBytes } from '../../../src/common/heldBytes.js';
+import { createClientMemory } from '../../../src/common/clientMemory.js';
 import { createUnreadResponses } from '../../../src/gateway/unreadResponses.js';
 import { waitFor } from '../../fixtures/deployment.js';
 
@@ -41,7 +41,8 @@
   const unread = createUnreadResponses({
     logger: { event: (name, fields) => void events.push({ name, ...fields }) },
     now: () => performance.now() + pausedMs,
-    heldBytes: createHeldBytes(memoryMb),
+    heldBytes: createClientMemory({ memoryMb }).responses,
+    onClosed() {},
   });
   const server = createServer((request, response) => {
     responses.set(request.url ?? '', response);
--- a/test/unit/platform/controlApi.test.ts
+++ b/test/unit/platform/controlApi.test.ts
@@ -6,6 +6,7 @@
 import { request } from 'undici';
 import { startControlApi } from '../../../platform/controlApi.js';
 import { createBodyAdmission } from '../../../src/common/bodyAdmission.js';
+import { createClientMemory } from '../../../src/common/clientMemory.js';
 import { SystemClock } from '../../../src/common/clock.js';
 import { RaisedFailure } from '../../../src/common/failure.js';
 import type { Logger } from '../../../src/common/logging.js';
@@ -36,7 +37,7 @@
       clock: new SystemClock(),
       logger,
       listen: address,
-      bodies: createBodyAdmission(logger),
+      bodies: createBodyAdmission(createClientMemory({ logger })),
       authority: { declare: failLate },
     };
     api = await startControlApi(host as unknown as ControlApiHost);
