Count what a gateway keeps for each started request

Cause: the account took 6 KiB for a request; under pipelined requests a gateway with a heap of 128 MB ended at 192 MB in a whole run of clientMemory.test.ts, with some 3,800 of them counted.

--- a/src/common/clientConnections.ts
+++ b/src/common/clientConnections.ts
@@ -14,7 +14,7 @@
 const DEFAULT_MAX_PIPELINED = 64;
 /** A socket, its parser, and what is kept for it here. */
 const CONNECTION_BYTES = 4 * 1024;
-/** A request and its response in Node.js, and what their handler keeps. */
+/** A request and its response in Node.js. */
 const REQUEST_BYTES = 6 * 1024;
 /** A header line is kept as two strings, as a property, and again for an endpoint. */
 const LINE_BYTES = 160;
@@ -29,6 +29,8 @@
 export interface ClientLimits {
   memory: ClientMemory;
   maxPipelinedRequests?: number | undefined;
+  /** What a handler keeps for a request that has been started. */
+  runningBytes?: number;
 }
 
 /** An open connection. */
@@ -60,7 +62,7 @@
 /** Applies the limits to a server. To be called before other listeners are added. */
 export function limitClients(
   server: Server,
-  { memory, maxPipelinedRequests }: ClientLimits,
+  { memory, maxPipelinedRequests, runningBytes = 0 }: ClientLimits,
 ): LimitedClients {
   const connections = connectionsByMemory.get(memory) ?? new Map<Socket, Connection>();
   connectionsByMemory.set(memory, connections);
@@ -117,9 +119,8 @@
     if (connection === undefined || connection.isClosed) return;
     const hasBody = !isWithoutBody(request);
     const bytes = estimateBytes(request) + (hasBody ? BODY_BYTES : 0);
-    connection.bytes += bytes;
     connection.openCount += 1;
-    requests.add(bytes);
+    charge(connection, connection.openCount <= maxOpen ? bytes + runningBytes : bytes);
     const collector = hasBody
       ? collectBody(request, {
           hold(held) {
@@ -132,10 +133,10 @@
     response.once('close', () => {
       collector?.discard();
       if (connection.isClosed) return;
-      connection.bytes -= bytes;
+      // With a further request that waited, as many as before are running.
+      charge(connection, connection.openCount <= maxOpen ? -bytes - runningBytes : -bytes);
       connection.openCount -= 1;
       connection.progressAt = performance.now();
-      requests.add(-bytes);
       if (connection.isPipelineFull) continuePipeline(connection);
     });
     if (connection.openCount >= maxOpen && !connection.isPipelineFull) {
@@ -147,6 +148,11 @@
     else startShedding();
   }
 
+  function charge(connection: Connection, bytes: number): void {
+    connection.bytes += bytes;
+    requests.add(bytes);
+  }
+
   function continuePipeline(connection: Connection): void {
     const { waiting, openCount } = connection;
     if (openCount - waiting.length < maxOpen) waiting.shift()?.();
