Start engines slowly only where the settings ask for it

Change: gateway.scheduling = "adaptive" turns paces on; auto, the default, places by expected latency only.

--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -65,8 +65,9 @@
 }
 
 /**
- * Where endpoints are chosen by expected latency and started slowly. `auto` means the pools in which
- * an endpoint has stated how much its VM slows it down.
+ * Where endpoints are chosen by expected latency: nowhere, everywhere, or (`auto`) in the pools in
+ * which an endpoint has stated how much its VM slows it down. Only `adaptive` starts engines slowly:
+ * the reports that this takes cost gateways on small VMs more than callers gain.
  */
 export type Scheduling = 'basic' | 'adaptive' | 'auto';
 
@@ -262,7 +263,7 @@
   }
 
   function isPaced(pool: string): boolean {
-    return isAdaptive(pool) && (host.isEngine?.(pool) ?? true);
+    return scheduling === 'adaptive' && (host.isEngine?.(pool) ?? true);
   }
 
   /** Requests of other gateways, derived from the load that the endpoint itself reported. */
