Name the counts of versions in rollouts alike, and drop what nothing reads

The judge called the new version `next` and all others `old`, while events and the outcomes speak of the new version and the others. The slots of ready endpoints and a weight of 1 had no effect, and a margin of the drain had no name.

--- a/src/keeper/rolloutController.ts
+++ b/src/keeper/rolloutController.ts
@@ -11,7 +11,7 @@
 import type { Command, Rollout } from '../generated/keeper.js';
 import type { RolloutSettings } from '../generated/schemas.js';
 import type { RunningReplica } from './replica.js';
-import { compare, type Counts, type ReadyEndpoints } from './rolloutEvidence.js';
+import { compare, type Counts } from './rolloutEvidence.js';
 import { judgeRollout, type RolloutDecision, type RolloutView } from './rolloutJudge.js';
 import { createRolloutOutcomes, type RolloutOutcomes } from './rolloutOutcomes.js';
 import type { RolloutRecord } from './rollouts.js';
@@ -154,7 +154,7 @@
       share,
       sharedForMs: ageMs - sharedAtMs,
       windows: outcomes.listWindows(clock.now()),
-      oldRunning: outcomes.countOthersRunning(toVersion),
+      othersRunning: outcomes.countOthersRunning(toVersion),
       failureBurst: outcomes.getFailureBurst(toVersion),
       ready: countReady(rollout.pool, host.listAnnouncements()),
     };
@@ -231,16 +231,12 @@
   return kind === 'complete' ? 'completed' : 'reverted';
 }
 
-function countReady(pool: string, announcements: Announcement[]): Map<string, ReadyEndpoints> {
-  const ready = new Map<string, ReadyEndpoints>();
+function countReady(pool: string, announcements: Announcement[]): Map<string, number> {
+  const ready = new Map<string, number>();
   for (const announcement of announcements) {
     if (announcement.pool !== pool || announcement.state !== 'ready') continue;
-    const { softwareVersion, slots } = announcement;
-    const known = ready.get(softwareVersion) ?? { endpoints: 0, slots: 0 };
-    ready.set(softwareVersion, {
-      endpoints: known.endpoints + 1,
-      slots: known.slots + slots,
-    });
+    const { softwareVersion } = announcement;
+    ready.set(softwareVersion, (ready.get(softwareVersion) ?? 0) + 1);
   }
   return ready;
 }
@@ -248,9 +244,9 @@
 function describeFigures({ windows, toVersion, ready }: RolloutView): string {
   const all = compare(windows[0] ?? [], toVersion)[0];
   if (all === undefined) return '';
-  const endpoints = ready.get(toVersion)?.endpoints ?? 0;
-  const next = describeCounts(all.next);
-  return `${toVersion}: ${next}, ${endpoints} endpoints; others: ${describeCounts(all.old)}`;
+  const endpoints = ready.get(toVersion) ?? 0;
+  const newVersion = describeCounts(all.newVersion);
+  return `${toVersion}: ${newVersion}, ${endpoints} endpoints; others: ${describeCounts(all.others)}`;
 }
 
 function describeCounts({ begun, completed, failed, slow }: Counts): string {
--- a/src/keeper/rolloutEvidence.ts
+++ b/src/keeper/rolloutEvidence.ts
@@ -12,27 +12,22 @@
   work: number;
 }
 
-/** Endpoints of a version that take requests. */
-export interface ReadyEndpoints {
-  endpoints: number;
-  slots: number;
-}
-
 /** What is known of the versions of a pool. */
 export interface Evidence {
   toVersion: string;
   /** Counts since the order, then those of ever shorter recent times. */
   windows: readonly (readonly VersionCounts[])[];
-  ready: ReadonlyMap<string, ReadyEndpoints>;
+  /** Number of endpoints that take requests, by version. */
+  ready: ReadonlyMap<string, number>;
   /** Most failures of the new version at about the same moment. */
   failureBurst: number;
 }
 
-/** Sums of the new version and of all others, over all routes or of one. */
+/** Counts of the new version and of all others, over all routes or of one. */
 export interface Comparison {
   route: string | undefined;
-  old: Counts;
-  next: Counts;
+  newVersion: Counts;
+  others: Counts;
 }
 
 export type Counts = Omit<VersionCounts, 'version' | 'route'>;
@@ -54,8 +49,7 @@
  */
 const MIN_CRASH_FAILURES = 3;
 const MAX_CRASH_FAILURES = 12;
-/** Share of the responses of one slow endpoint, relative to an equal share. */
-const SLOW_ENDPOINT_WEIGHT = 1;
+/** Greatest share of slow responses that is put down to a single slow endpoint. */
 const MAX_SLOW_ENDPOINT_SHARE = 0.3;
 /**
  * Ratio of mean times from which on endpoints' own speeds do not explain it: they differ by up to
@@ -75,13 +69,14 @@
   const sinceOrder = compare(total, evidence.toVersion);
   for (const comparison of sinceOrder) {
     const fault =
-      tryFindBadShare(evidence, comparison, comparison.old, chance) ?? tryFindSlowMean(comparison);
+      tryFindBadShare(evidence, comparison, comparison.others, chance) ??
+      tryFindSlowMean(comparison);
     if (fault !== undefined) return fault;
   }
   for (const window of recent) {
     for (const comparison of compare(window, evidence.toVersion)) {
-      const old = sinceOrder.find(({ route }) => route === comparison.route)?.old ?? noCounts;
-      const fault = tryFindBadShare(evidence, comparison, old, chance);
+      const known = sinceOrder.find(({ route }) => route === comparison.route)?.others;
+      const fault = tryFindBadShare(evidence, comparison, known ?? noCounts, chance);
       if (fault !== undefined) return fault;
     }
   }
@@ -90,15 +85,15 @@
 
 /** Returns the sums over all routes, and those of each route. */
 export function compare(window: readonly VersionCounts[], toVersion: string): Comparison[] {
-  const all: Comparison = { route: undefined, old: noCounts, next: noCounts };
+  const all: Comparison = { route: undefined, newVersion: noCounts, others: noCounts };
   const byRoute = new Map<string, Comparison>();
   for (const counts of window) {
     const { route } = counts;
-    const known = byRoute.get(route) ?? { route, old: noCounts, next: noCounts };
+    const known = byRoute.get(route) ?? { route, newVersion: noCounts, others: noCounts };
     byRoute.set(route, known);
     for (const comparison of [all, known]) {
-      if (counts.version === toVersion) comparison.next = add(comparison.next, counts);
-      else comparison.old = add(comparison.old, counts);
+      const side = counts.version === toVersion ? 'newVersion' : 'others';
+      comparison[side] = add(comparison[side], counts);
     }
   }
   return [all, ...byRoute.values()];
@@ -119,27 +114,38 @@
   };
 }
 
-/** `oldSinceOrder` are the old version's counts on the same route since the order. */
+/** `othersSinceOrder` are the counts of the other versions on the same route since the order. */
 function tryFindBadShare(
   { ready, toVersion, failureBurst }: Evidence,
-  { route, old, next }: Comparison,
-  oldSinceOrder: Counts,
+  { route, newVersion, others }: Comparison,
+  othersSinceOrder: Counts,
   chance: number,
 ): string | undefined {
-  const endpoints = ready.get(toVersion);
-  const usualFailed = getUsualShare(USUAL_FAILED, old, oldSinceOrder, 'failed', countAnswered);
+  const usualFailed = getUsualShare(
+    USUAL_FAILED,
+    others,
+    othersSinceOrder,
+    'failed',
+    countAnswered,
+  );
   const isCrash = failureBurst >= MIN_CRASH_FAILURES;
-  const failed = next.failed - (isCrash ? Math.min(failureBurst, MAX_CRASH_FAILURES) : 0);
-  const answered = countAnswered(next);
+  const failed = newVersion.failed - (isCrash ? Math.min(failureBurst, MAX_CRASH_FAILURES) : 0);
+  const answered = countAnswered(newVersion);
   if (isImprobable(failed, answered, usualFailed, chance)) {
-    return describe('failed', next.failed, answered, usualFailed, route);
+    return describe('failed', newVersion.failed, answered, usualFailed, route);
   }
   // One endpoint that is slow by itself makes its share of the responses slow.
-  const oneEndpoint = SLOW_ENDPOINT_WEIGHT / Math.max(1, endpoints?.endpoints ?? 1);
+  const oneEndpoint = 1 / Math.max(1, ready.get(toVersion) ?? 1);
   const least = Math.max(USUAL_SLOW, Math.min(oneEndpoint, MAX_SLOW_ENDPOINT_SHARE));
-  const usualSlow = getUsualShare(least, old, oldSinceOrder, 'slow', ({ completed }) => completed);
-  return isImprobable(next.slow, next.completed, usualSlow, chance)
-    ? describe('slow', next.slow, next.completed, usualSlow, route)
+  const usualSlow = getUsualShare(
+    least,
+    others,
+    othersSinceOrder,
+    'slow',
+    ({ completed }) => completed,
+  );
+  return isImprobable(newVersion.slow, newVersion.completed, usualSlow, chance)
+    ? describe('slow', newVersion.slow, newVersion.completed, usualSlow, route)
     : undefined;
 }
 
@@ -156,11 +162,11 @@
   return Math.max(least, Math.min(1, TOLERATED_RATIO * Math.max(...shares)));
 }
 
-function tryFindSlowMean({ route, old, next }: Comparison): string | undefined {
+function tryFindSlowMean({ route, newVersion, others }: Comparison): string | undefined {
   // Routes differ in what one unit of work takes.
   if (route === undefined) return undefined;
-  if (Math.min(old.completed, next.completed) < MIN_MEAN_RESPONSES) return undefined;
-  const ratio = getMsPerWork(next) / getMsPerWork(old);
+  if (Math.min(others.completed, newVersion.completed) < MIN_MEAN_RESPONSES) return undefined;
+  const ratio = getMsPerWork(newVersion) / getMsPerWork(others);
   return ratio > MAX_SPEED_RATIO
     ? `${ratio.toFixed(1)} times as long for the same work on ${route}`
     : undefined;
--- a/src/keeper/rolloutJudge.ts
+++ b/src/keeper/rolloutJudge.ts
@@ -21,7 +21,7 @@
   /** Time since the share was last changed. */
   sharedForMs: number;
   /** Requests that run at other versions than the new one. */
-  oldRunning: number;
+  othersRunning: number;
 }
 
 export type RolloutDecision =
@@ -31,7 +31,7 @@
   | { kind: 'revert'; reason: string };
 
 /** Points of an order's age, in milliseconds. */
-export interface RolloutSchedule {
+interface RolloutSchedule {
   /** The canary phase ends. */
   rampAt: number;
   /** All requests should go to the new version. */
@@ -76,8 +76,10 @@
 const MAX_DRAIN_PART = 0.5;
 /** Part of the time that old requests take to end which is left at the last chance. */
 const LAST_CHANCE_PART = 0.75;
-/** The longest responses of a route, in parts of its mean. */
+/** Ratio of the longest responses of a route to its mean. */
 const LONGEST_PER_MEAN = 8;
+/** Added to the estimated duration of the longest responses. */
+const DRAIN_MARGIN_MS = 1_000;
 /** Responses of a route from which on its mean counts. */
 const MIN_MEAN_RESPONSES = 5;
 /** Answers of the new version, over all routes and on each with traffic, that allow a step. */
@@ -103,7 +105,7 @@
 }
 
 /** Returns the schedule, which follows from the duration and the times that responses take. */
-export function planRollout(view: RolloutView): RolloutSchedule {
+function planRollout(view: RolloutView): RolloutSchedule {
   const { durationMs: deadline } = view;
   const completeAt = deadline - Math.min(MAX_MARGIN_MS, MARGIN_PART * deadline);
   const drainMs = Math.min(estimateDrainMs(view), MAX_DRAIN_PART * deadline);
@@ -116,10 +118,10 @@
 function estimateDrainMs({ windows, toVersion }: RolloutView): number {
   const routes = compare(windows[0] ?? [], toVersion).slice(1);
   const means = routes
-    .filter(({ old }) => old.completed >= MIN_MEAN_RESPONSES)
-    .map(({ old }) => old.totalMs / old.completed);
+    .filter(({ others }) => others.completed >= MIN_MEAN_RESPONSES)
+    .map(({ others }) => others.totalMs / others.completed);
   if (means.length === 0) return MAX_DRAIN_MS;
-  const longestMs = LONGEST_PER_MEAN * Math.max(...means) + 1_000;
+  const longestMs = LONGEST_PER_MEAN * Math.max(...means) + DRAIN_MARGIN_MS;
   return Math.min(MAX_DRAIN_MS, Math.max(MIN_DRAIN_MS, longestMs));
 }
 
@@ -149,9 +151,11 @@
   { maxShare, maxExcess }: RolloutSettings,
 ): number {
   const [all] = compare(view.windows[0] ?? [], view.toVersion) as [Comparison];
-  const ratePerMs = (all.old.begun + all.next.begun) / Math.max(1, view.ageMs - COUNT_DELAY_MS);
+  const ratePerMs =
+    (all.others.begun + all.newVersion.begun) / Math.max(1, view.ageMs - COUNT_DELAY_MS);
   const budget = CANARY_BUDGET * (maxShare * ratePerMs * deadline + maxExcess);
-  const share = (budget - all.next.begun) / (ratePerMs * Math.max(rampAt / 4, rampAt - view.ageMs));
+  const share =
+    (budget - all.newVersion.begun) / (ratePerMs * Math.max(rampAt / 4, rampAt - view.ageMs));
   return Math.min(MAX_CANARY_SHARE, Number.isFinite(share) ? Number(share.toFixed(3)) : 0);
 }
 
@@ -172,13 +176,14 @@
 /** Returns why the answers of the new version do not allow a step yet. */
 function tryFindGap({ windows, toVersion }: RolloutView): string | undefined {
   const [all, ...routes] = compare(windows[0] ?? [], toVersion) as [Comparison, ...Comparison[]];
-  const answers = countAnswered(all.next);
+  const answers = countAnswered(all.newVersion);
   if (answers < MIN_ANSWERS) return `${answers} answers`;
-  const traffic = ROUTE_TRAFFIC * (all.old.begun + all.next.begun);
+  const traffic = ROUTE_TRAFFIC * (all.others.begun + all.newVersion.begun);
   const gap = routes.find(
-    ({ old, next }) => old.begun + next.begun >= traffic && countAnswered(next) < MIN_ROUTE_ANSWERS,
+    ({ newVersion, others }) =>
+      others.begun + newVersion.begun >= traffic && countAnswered(newVersion) < MIN_ROUTE_ANSWERS,
   );
-  return gap && `${countAnswered(gap.next)} answers on ${gap.route}`;
+  return gap && `${countAnswered(gap.newVersion)} answers on ${gap.route}`;
 }
 
 function judgeLastChance(view: RolloutView): RolloutDecision {
@@ -188,23 +193,23 @@
   if (!hasReadyEndpoint(view)) {
     return { kind: 'revert', reason: 'no endpoint of the new version is ready' };
   }
-  const requests = all.old.begun + all.next.begun;
-  if (all.next.completed === 0 && requests >= MIN_TELLING_REQUESTS) {
+  const requests = all.others.begun + all.newVersion.begun;
+  if (all.newVersion.completed === 0 && requests >= MIN_TELLING_REQUESTS) {
     return { kind: 'revert', reason: 'no complete answer of the new version' };
   }
   return { kind: 'step', share: 1, reason: 'few answers, no bad ones beyond chance' };
 }
 
 function hasReadyEndpoint({ ready, toVersion }: RolloutView): boolean {
-  return (ready.get(toVersion)?.endpoints ?? 0) > 0;
+  return (ready.get(toVersion) ?? 0) > 0;
 }
 
 function judgeFull(view: RolloutView, schedule: RolloutSchedule): RolloutDecision {
-  const { ageMs, sharedForMs, oldRunning } = view;
+  const { ageMs, sharedForMs, othersRunning } = view;
   const { completeAt, deadline, drainMs } = schedule;
   if (ageMs < completeAt) return { kind: 'hold' };
   // Reports of what was begun just before the step take some time.
-  const hasEnded = oldRunning === 0 && sharedForMs >= drainMs / 2;
+  const hasEnded = othersRunning === 0 && sharedForMs >= drainMs / 2;
   if (hasEnded) return { kind: 'complete', reason: 'old version ended' };
   // Some requests may never be reported as ended: their callers left, or their gateway did.
   const lastAt = (completeAt + deadline) / 2;
