--- a/src/gateway/latencyPlacement.ts
+++ b/src/gateway/latencyPlacement.ts
@@ -9,7 +9,12 @@
  * own, and those that already run at the engine.
  */
 
-import type { Candidate, PlacementDemand, PlacementPolicy } from './placement.js';
+import {
+  getMean,
+  type Candidate,
+  type PlacementDemand,
+  type PlacementPolicy,
+} from './placement.js';
 
 /** Cost of a full engine compared with an empty one: free slots serve what comes next. */
 const LOAD_COST = 0.2;
@@ -106,18 +111,3 @@
   const ratio = expectedMs / objectiveMs;
   return ratio < 1 ? ratio ** RISK_EXPONENT : 1 + OVERTIME_RISK * (ratio - 1);
 }
-
-function getMean(
-  candidates: readonly Candidate<unknown>[],
-  get: (candidate: Candidate<unknown>) => number | undefined,
-): number {
-  let sum = 0;
-  let count = 0;
-  for (const candidate of candidates) {
-    const value = get(candidate);
-    if (value === undefined) continue;
-    sum += value;
-    count += 1;
-  }
-  return count === 0 ? 0 : sum / count;
-}
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -82,8 +82,8 @@
 export class LoadPlacement implements PlacementPolicy {
   getCosts(candidates: readonly Candidate<unknown>[], demand: PlacementDemand): number[] {
     const means = {
-      chunkIntervalMs: getMean(candidates.flatMap(({ chunkIntervalMs }) => chunkIntervalMs ?? [])),
-      promptTokenMs: getMean(candidates.flatMap(({ promptTokenMs }) => promptTokenMs ?? [])),
+      chunkIntervalMs: getMean(candidates, ({ chunkIntervalMs }) => chunkIntervalMs),
+      promptTokenMs: getMean(candidates, ({ promptTokenMs }) => promptTokenMs),
     };
     return candidates.map((candidate) => getCost(candidate, demand, means));
   }
@@ -108,6 +108,18 @@
   return relativeWork * slowness + (LOAD_COST * occupancy) / slots + firstChunkCost;
 }
 
-function getMean(values: readonly number[]): number {
-  return values.reduce((sum, value) => sum + value, 0) / Math.max(values.length, 1);
+/** Returns the mean of a figure over the candidates that have one; 0 if none has. */
+export function getMean(
+  candidates: readonly Candidate<unknown>[],
+  get: (candidate: Candidate<unknown>) => number | undefined,
+): number {
+  let sum = 0;
+  let count = 0;
+  for (const candidate of candidates) {
+    const value = get(candidate);
+    if (value === undefined) continue;
+    sum += value;
+    count += 1;
+  }
+  return count === 0 ? 0 : sum / count;
 }
