Correct comments on paces, started requests and pipelines

`isNew` said that an endpoint which was known before has its full slots; a further incarnation of a known endpoint starts slowly. The bytes of a started request said neither what they count nor that they are added to others.

--- a/src/common/clientConnections.ts
+++ b/src/common/clientConnections.ts
@@ -66,7 +66,7 @@
 ): LimitedClients {
   const connections = connectionsByMemory.get(memory) ?? new Map<Socket, Connection>();
   connectionsByMemory.set(memory, connections);
-  // With one request its body has to be read still.
+  // With a limit of 1, the body of the only request would not be read.
   const maxOpen = Math.max(2, maxPipelinedRequests ?? DEFAULT_MAX_PIPELINED);
   const { requests } = memory;
   let isShedding = false;
--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -27,7 +27,10 @@
 /** More than any routing table allows; the limit that the table states is not checked here. */
 const MAX_HEADER_BYTES = 64 * 1024;
 const DEFAULT_WAIT_MS = 30_000;
-/** With 6 KiB each in the account, 3,800 pipelined requests filled a heap of 128 MB. */
+/**
+ * What the gateway keeps for a request that it has started, beside the 6 KiB that each request counts:
+ * with those alone, 3,800 pipelined requests filled a heap of 128 MB.
+ */
 const RUNNING_BYTES = 18 * 1024;
 /** Turns of the event loop in which the end of a connection follows its request at the latest. */
 const TURNS_TO_NOTICE_CLOSE = 6;
--- a/src/gateway/endpointPace.ts
+++ b/src/gateway/endpointPace.ts
@@ -16,7 +16,10 @@
 
 /** Share of the slots that an endpoint starts with; half of it if it announces that it warms up. */
 const START_SHARE = 1 / 3;
-/** Rise of the allowance for each response in time: it doubles within the time of one response. */
+/**
+ * Requests that each response in time adds to the allowance, which so doubles within the time of one
+ * response.
+ */
 const GAIN = 1;
 /** Multiple of the expected time above which a first event is late. */
 const LATE_RATIO = 2;
@@ -72,7 +75,7 @@
   /** Start of the incarnation. */
   bornAtMs: number;
   slots: number;
-  /** Whether the endpoint has just started; one that was known before has its full slots. */
+  /** Whether it starts slowly; one that ran before this gateway joined has its full slots. */
   isNew: boolean;
   /** Whether it announces that it warms up. */
   isWarming: boolean;
@@ -130,6 +133,7 @@
   const recentGood: Sign[] = [];
   const recentBad: Sign[] = [];
   let round = 0;
+  /** Allowance that the round began with. */
   let start = slots;
   let roundAt = now();
   /** Sum of the rises by responses to this gateway in the round. */
--- a/src/gateway/rolloutRouting.ts
+++ b/src/gateway/rolloutRouting.ts
@@ -30,7 +30,7 @@
 /** More than the rounding errors of sums of shares. */
 const ROUNDING_ERROR = 1e-9;
 /** Time after the end of a rollout during which outcomes are still of use to the keepers. */
-const AFTERMATH_MS = 60_000;
+const ENDED_RETENTION_MS = 60_000;
 
 /**
  * The version that a request was drawn for. `either` stands for a request that has found no free
@@ -214,7 +214,7 @@
   function isTracked(pool: string): boolean {
     const rollout = rollouts.get(pool);
     if (rollout === undefined) return false;
-    return rollout.endedAt === undefined || clock.now() - rollout.endedAt <= AFTERMATH_MS;
+    return rollout.endedAt === undefined || clock.now() - rollout.endedAt <= ENDED_RETENTION_MS;
   }
 }
 
