--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -292,11 +292,11 @@
     endpoint?.rateLimit.applyPeer({ gatewayId, incarnation, sent, isWanted, statement });
   }
 
-  function applyStatements({ gatewayId }: GatewayReport, load: EndpointLoad): void {
+  function applyStatements(report: GatewayReport, load: EndpointLoad): void {
     const endpoint = endpoints.get(load.endpointId);
     if (endpoint === undefined) return;
-    endpoint.pace.applyPeer(gatewayId, load.pace);
-    if (load.speed !== undefined) endpoint.sharedSpeed.applyPeer(gatewayId, load.speed);
+    endpoint.pace.applyPeer(report.gatewayId, load.pace);
+    if (load.speed !== undefined) endpoint.sharedSpeed.applyPeer(report, load.speed);
     if (load.slowdown === undefined) return;
     slowedPools.add(endpoint.announcement.pool);
     endpoint.vmSlowdown.applyPeer(load.slowdown);
--- a/src/gateway/sharedSpeed.ts
+++ b/src/gateway/sharedSpeed.ts
@@ -4,7 +4,7 @@
  * has seen, and adds what the sums of others have grown by to its own means.
  */
 
-import type { SpeedSums } from '../generated/control.js';
+import type { GatewayReport, SpeedSums } from '../generated/control.js';
 
 /** Streams with fewer chunks rarely meet the pauses that long ones have. */
 const MIN_PAUSE_CHUNKS = 8;
@@ -15,6 +15,9 @@
 const PROMPT_TOKEN_MEMORY = 200_000;
 const OUTPUT_TOKEN_MEMORY = 10_000;
 
+/** A start of a gateway; its sums begin at 0. */
+export type GatewayIncarnation = Pick<GatewayReport, 'gatewayId' | 'incarnation'>;
+
 /** Timing of a complete stream. */
 export interface StreamSample {
   chunks: number;
@@ -49,7 +52,7 @@
   /** Records that a response began `elapsedMs` after it was sent, behind `tokens` prompt tokens. */
   recordFirstChunk(tokens: number, elapsedMs: number): void;
   /** Adds what the sums of another gateway have grown by since its last report. */
-  applyPeer(gateway: string, sums: SpeedSums): void;
+  applyPeer(gateway: GatewayIncarnation, sums: SpeedSums): void;
 }
 
 /** A mean in which earlier samples count less and less. */
@@ -65,7 +68,7 @@
   const promptToken = createDecayingMean(PROMPT_TOKEN_MEMORY);
   const outputToken = createDecayingMean(OUTPUT_TOKEN_MEMORY);
   const own = createSums();
-  const peers = new Map<string, SpeedSums>();
+  const peers = new Map<string, { incarnation: string; sums: SpeedSums }>();
   let hasChanged = false;
 
   return {
@@ -119,12 +122,11 @@
     return { ...own };
   }
 
-  function applyPeer(gateway: string, sums: SpeedSums): void {
-    const known = peers.get(gateway);
-    peers.set(gateway, sums);
-    // Sums that have shrunk come from a gateway that has started again.
-    const isContinued = known !== undefined && sums.streams >= known.streams;
-    addToMeans(isContinued ? subtractSums(sums, known) : sums);
+  function applyPeer({ gatewayId, incarnation }: GatewayIncarnation, sums: SpeedSums): void {
+    const known = peers.get(gatewayId);
+    peers.set(gatewayId, { incarnation, sums });
+    const isContinued = known?.incarnation === incarnation;
+    addToMeans(isContinued ? subtractSums(sums, known.sums) : sums);
   }
 
   function addToMeans(sample: SpeedSums): void {
--- a/test/unit/gateway/sharedSpeed.test.ts
+++ b/test/unit/gateway/sharedSpeed.test.ts
@@ -6,6 +6,7 @@
 import { createSharedSpeed } from '../../../src/gateway/sharedSpeed.js';
 import { createVmSlowdown } from '../../../src/gateway/vmSlowdown.js';
 
+const gateway = { gatewayId: 'a', incarnation: '1' };
 const stream = { chunks: 11, elapsedMs: 500, longestPauseMs: 80, outputTokens: 100 };
 
 describe('the speed that all gateways have seen', () => {
@@ -16,8 +17,8 @@
     seen.recordStream(stream);
     seen.recordFirstChunk(5_000, 50);
     const sums = seen.takeSums() ?? assert.fail('nothing to report');
-    heard.applyPeer('a', sums);
-    heard.applyPeer('a', sums);
+    heard.applyPeer(gateway, sums);
+    heard.applyPeer(gateway, sums);
     assert.equal(heard.chunkIntervalMs, 50);
     assert.equal(heard.pauseMs, 80);
     assert.equal(heard.outputTokenMs, 5);
@@ -25,18 +26,20 @@
     assert.equal(seen.takeSums(), undefined);
     seen.recordStream({ ...stream, elapsedMs: 5_000 });
     const before = heard.chunkIntervalMs;
-    heard.applyPeer('a', seen.takeSums() ?? assert.fail('nothing to report'));
+    heard.applyPeer(gateway, seen.takeSums() ?? assert.fail('nothing to report'));
     assert.ok((heard.chunkIntervalMs ?? 0) > (before ?? 0));
   });
 
-  it('goes on with a gateway that starts again', () => {
+  // A gateway that had started again counted only once its sums exceeded those before.
+  it('goes on with a gateway that starts again, also when that has seen as much as before', () => {
     const heard = createSharedSpeed();
     const first = createSharedSpeed();
-    for (let count = 0; count < 5; count += 1) first.recordStream(stream);
-    heard.applyPeer('a', first.takeSums() ?? assert.fail());
+    first.recordStream(stream);
+    heard.applyPeer(gateway, first.takeSums() ?? assert.fail());
     const second = createSharedSpeed();
     second.recordStream({ ...stream, elapsedMs: 50_000 });
-    heard.applyPeer('a', second.takeSums() ?? assert.fail());
+    const restarted = { ...gateway, incarnation: '2' };
+    heard.applyPeer(restarted, second.takeSums() ?? assert.fail());
     assert.ok((heard.chunkIntervalMs ?? 0) > 500);
   });
 });
