Count the beginning and the end of an attempt under one software version

Found by reading: a response of an incarnation that had taken over the address ended under that one's version, while the request had begun under the other. One of them counted as running for ever. The scheduler's tests share the creation of requests; their checks are unchanged.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -84,7 +84,9 @@
   let isPromptRemoved = false;
   let firstByteAt: number | undefined;
   const { promptTokenMs, chunkIntervalMs } = endpoint.speed;
-  const isCounted = versionOutcomes.recordBegun(call, endpoint.announcement.softwareVersion);
+  // An incarnation that takes over the address meanwhile must not get an end without a beginning.
+  const { softwareVersion: countedVersion } = endpoint.announcement;
+  const isCounted = versionOutcomes.recordBegun(call, countedVersion);
   endpoint.unreadTokens += promptTokens;
 
   const attempt: Attempt = {
@@ -178,14 +180,14 @@
   }
 
   function recordEnd(): void {
-    const { head, softwareVersion } = attempt;
+    const { head } = attempt;
     const time = clock.now();
     if (chunks > 0) recordStream(time - firstChunkAt);
     else endpoint.pace.recordFirstEvent(Math.max(promptMs, objectiveMs), time - sentAt, sentAt);
     if (!isCounted || head === undefined) return;
     // A response that blames the request says nothing about the version.
     if (head.status < 200 || head.status >= 300) return;
-    versionOutcomes.recordCompleted(call, softwareVersion, endpoint, {
+    versionOutcomes.recordCompleted(call, countedVersion, endpoint, {
       firstMs: (firstByteAt ?? time) - sentAt,
       totalMs: time - sentAt,
       chunks,
@@ -207,7 +209,7 @@
   }
 
   function countFailure(): void {
-    versionOutcomes.recordFailed(call, attempt.softwareVersion);
+    versionOutcomes.recordFailed(call, countedVersion);
   }
 
   function removePrompt(): void {
--- a/test/unit/gateway/rolloutPlacement.test.ts
+++ b/test/unit/gateway/rolloutPlacement.test.ts
@@ -12,6 +12,7 @@
 import { createTestEndpoint } from '../../fixtures/gatewayEndpoint.js';
 import { createTestTracker } from '../../fixtures/gatewayTracker.js';
 import { createRollout, ROLLOUT_POOL, startRouting } from '../../fixtures/rollouts.js';
+import { createTestPlacement } from '../../fixtures/placementRequest.js';
 
 describe('the placement during a rollout', () => {
   let scheduler: Scheduler | undefined;
@@ -51,29 +52,15 @@
   }
 
   function createRequest(changes: Partial<PlacementRequest> = {}): PlacementRequest {
-    return {
+    return createTestPlacement({
       pool: ROLLOUT_POOL,
-      route: 'route',
-      teamRank: 0,
-      routeRank: 0,
-      relativeWork: 1,
-      promptTokens: 0,
-      outputTokens: 0,
-      objectiveMs: 500,
-      pauseObjectiveMs: 0,
-      deadline: Number.POSITIVE_INFINITY,
-      arrivedAt: 0,
       slackMs: 500,
-      maxQueueMs: 1_000,
-      isRetryable: true,
       // Such requests wait however long the queue is.
       wasInterrupted: true,
-      excluded: new Set(),
-      softwareVersion: undefined,
       onPlaced: ({ announcement }) => results.push(announcement.softwareVersion),
       onRefused: (reason) => results.push(reason),
       ...changes,
-    };
+    });
   }
 
   async function submit(count: number, changes: Partial<PlacementRequest> = {}): Promise<void> {
--- a/test/unit/gateway/scheduler.test.ts
+++ b/test/unit/gateway/scheduler.test.ts
@@ -7,6 +7,7 @@
 import { createTestEndpoint } from '../../fixtures/gatewayEndpoint.js';
 import { createTestTracker } from '../../fixtures/gatewayTracker.js';
 import { createRandom } from '../../fixtures/random.js';
+import { createTestPlacement } from '../../fixtures/placementRequest.js';
 
 const POOL = 'engines';
 const SLOTS = 10;
@@ -113,7 +114,7 @@
     const waitedMs = time - firstTryAt;
     if (isRetry) outcome.retried += 1;
     else outcome.requested += 1;
-    const request: PlacementRequest = {
+    const request = createTestPlacement({
       pool: POOL,
       route: requestClass.name,
       teamRank: requestClass.teamRank,
@@ -121,16 +122,8 @@
       relativeWork: requestClass.serviceMs / meanMs,
       slackMs: 0.6 * requestClass.objectiveMs - waitedMs,
       maxQueueMs: 0.35 * (requestClass.waitMs - waitedMs),
-      promptTokens: 0,
-      outputTokens: 0,
       objectiveMs: requestClass.objectiveMs,
-      pauseObjectiveMs: 0,
-      deadline: Number.POSITIVE_INFINITY,
       arrivedAt,
-      isRetryable: true,
-      wasInterrupted: false,
-      excluded: new Set(),
-      softwareVersion: undefined,
       onPlaced(endpoint) {
         const slowness = engines[endpoints.indexOf(endpoint)] ?? 1;
         ends.push({ at: time + requestClass.serviceMs * slowness, endpoint });
@@ -147,7 +140,7 @@
         const delayMs = Math.min(retryAfterMs, (requestClass.waitMs - waitedMs) / 3);
         retries.push({ at: time + delayMs, submit: () => submit(requestClass, firstTryAt) });
       },
-    };
+    });
     scheduler.submit(request);
   }
 }
@@ -311,29 +304,14 @@
       isEngine: () => true,
     });
     let longestMs = 0;
-    const createRequest = (): PlacementRequest => ({
-      pool: POOL,
-      route: 'route',
-      teamRank: 0,
-      routeRank: 0,
-      relativeWork: 1,
-      promptTokens: 0,
-      outputTokens: 0,
-      objectiveMs: 500,
-      pauseObjectiveMs: 0,
-      deadline: Number.POSITIVE_INFINITY,
-      arrivedAt: 0,
-      slackMs: 300,
-      maxQueueMs: 0,
-      isRetryable: true,
-      wasInterrupted: false,
-      excluded: new Set(),
-      softwareVersion: undefined,
-      onPlaced() {},
-      onRefused(_reason, retryAfterMs) {
-        longestMs = Math.max(longestMs, retryAfterMs);
-      },
-    });
+    const createRequest = (): PlacementRequest =>
+      createTestPlacement({
+        pool: POOL,
+        maxQueueMs: 0,
+        onRefused(_reason, retryAfterMs) {
+          longestMs = Math.max(longestMs, retryAfterMs);
+        },
+      });
     for (let count = 0; count < 2_000; count += 1) scheduler.submit(createRequest());
     scheduler.close();
     assert.ok(longestMs > 0 && longestMs <= 5_500, `${longestMs} ms`);
--- a/test/unit/gateway/versionPlacement.test.ts
+++ b/test/unit/gateway/versionPlacement.test.ts
@@ -10,6 +10,7 @@
 } from '../../../src/gateway/scheduler.js';
 import { createTestEndpoint } from '../../fixtures/gatewayEndpoint.js';
 import { createTestTracker } from '../../fixtures/gatewayTracker.js';
+import { createTestPlacement } from '../../fixtures/placementRequest.js';
 
 const POOL = 'engines';
 
@@ -38,27 +39,15 @@
   results: string[],
   wasInterrupted = softwareVersion !== undefined,
 ): PlacementRequest {
-  return {
+  return createTestPlacement({
     pool: POOL,
-    route: 'route',
-    teamRank: 0,
-    routeRank: 0,
-    relativeWork: 1,
-    promptTokens: 0,
-    outputTokens: 0,
-    objectiveMs: 500,
-    pauseObjectiveMs: 0,
-    deadline: Number.POSITIVE_INFINITY,
     arrivedAt: performance.now(),
     slackMs: 500,
-    maxQueueMs: 1_000,
-    isRetryable: true,
     wasInterrupted,
-    excluded: new Set(),
     softwareVersion,
     onPlaced: ({ announcement }) => results.push(announcement.endpointId),
     onRefused: (reason) => results.push(reason),
-  };
+  });
 }
 
 describe('the placement of streams that have begun', () => {
