Start no requests while connections have to be closed

Cause: one turn of the event loop reads all connections, and the first 64 requests of each were started before the next turn closed any.

Change: requests read meanwhile wait until connections have been closed; a request counts 12 KiB and 30 KiB more once it is started.

--- a/src/common/clientConnections.ts
+++ b/src/common/clientConnections.ts
@@ -15,7 +15,7 @@
 /** A socket, its parser, and what is kept for it here. */
 const CONNECTION_BYTES = 4 * 1024;
 /** A request and its response in Node.js. */
-const REQUEST_BYTES = 6 * 1024;
+const REQUEST_BYTES = 12 * 1024;
 /** A header line is kept as two strings, as a property, and again for an endpoint. */
 const LINE_BYTES = 160;
 /** First bytes of a body, which are read at once. */
@@ -75,10 +75,15 @@
 
   return { waitForStart };
 
-  /** One read may bring 2,600 requests; those beyond the limit take little until they are started. */
+  /**
+   * One read may bring 2,600 requests, and one turn of the event loop reads all connections. Those
+   * beyond the limit, and those read while connections have to be closed first, take little until they
+   * are started.
+   */
   function waitForStart({ socket }: IncomingMessage): Promise<void> | undefined {
     const connection = connections.get(socket);
-    if (connection === undefined || connection.openCount <= maxOpen) return undefined;
+    if (connection === undefined) return undefined;
+    if (connection.openCount <= maxOpen && !isShedding) return undefined;
     return new Promise((resolve) => {
       connection.waiting.push(resolve);
     });
@@ -138,6 +143,7 @@
       connection.openCount -= 1;
       connection.progressAt = performance.now();
       if (connection.isPipelineFull) continuePipeline(connection);
+      else startWaiting(connection);
     });
     if (connection.openCount >= maxOpen && !connection.isPipelineFull) {
       connection.isPipelineFull = true;
@@ -154,15 +160,18 @@
   }
 
   function continuePipeline(connection: Connection): void {
-    const { waiting, openCount } = connection;
-    if (openCount - waiting.length < maxOpen) waiting.shift()?.();
-    if (openCount !== Math.floor(maxOpen / 2)) return;
+    startWaiting(connection);
+    if (connection.openCount !== Math.floor(maxOpen / 2)) return;
     takeReadTurn(() => {
       connection.isPipelineFull = false;
       updateReading(connection);
     });
   }
 
+  function startWaiting({ waiting, openCount }: Connection): void {
+    while (waiting.length > 0 && openCount - waiting.length < maxOpen) waiting.shift()?.();
+  }
+
   function mustShed(): boolean {
     return requests.isExceeded && requests.total > memory.limit * SHED_SHARE;
   }
@@ -175,7 +184,12 @@
   }
 
   function shed(): void {
+    closeLargest();
     isShedding = false;
+    for (const connection of connections.values()) startWaiting(connection);
+  }
+
+  function closeLargest(): void {
     if (!mustShed()) return;
     const now = performance.now();
     const ranked = [...connections.values()]
--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -28,10 +28,10 @@
 const MAX_HEADER_BYTES = 64 * 1024;
 const DEFAULT_WAIT_MS = 30_000;
 /**
- * What the gateway keeps for a request that it has started, beside the 6 KiB that each request counts:
- * with those alone, 3,800 pipelined requests filled a heap of 128 MB.
+ * What the gateway keeps for a request that it has started, beside what each request counts:
+ * 3,800 pipelined requests filled a heap of 128 MB.
  */
-const RUNNING_BYTES = 18 * 1024;
+const RUNNING_BYTES = 30 * 1024;
 /** Turns of the event loop in which the end of a connection follows its request at the latest. */
 const TURNS_TO_NOTICE_CLOSE = 6;
 
