Decide in one place whether a request has a body

clientConnections had a copy of httpServer's hasBody, negated. Both now use the one beside the reading of bodies; behaviour is unchanged.

--- a/src/common/clientConnections.ts
+++ b/src/common/clientConnections.ts
@@ -8,7 +8,7 @@
 import type { Socket } from 'node:net';
 import type { ClientMemory, LimitReason } from './clientMemory.js';
 import { takeReadTurn } from './readTurns.js';
-import { collectBody } from './requestBody.js';
+import { collectBody, hasBody } from './requestBody.js';
 
 /** Requests of a connection that may wait for their responses, unless the settings state it. */
 const DEFAULT_MAX_PIPELINED = 64;
@@ -122,11 +122,11 @@
     const connection = connections.get(request.socket);
     // The rest of what was read is still parsed after a connection has been closed.
     if (connection === undefined || connection.isClosed) return;
-    const hasBody = !isWithoutBody(request);
-    const bytes = estimateBytes(request) + (hasBody ? BODY_BYTES : 0);
+    const isWithBody = hasBody(request);
+    const bytes = estimateBytes(request) + (isWithBody ? BODY_BYTES : 0);
     connection.openCount += 1;
     charge(connection, connection.openCount <= maxOpen ? bytes + runningBytes : bytes);
-    const collector = hasBody
+    const collector = isWithBody
       ? collectBody(request, {
           hold(held) {
             connection.isBodyHeld = held;
@@ -235,10 +235,6 @@
   return (bytes + socket.writableLength) * (1_000 + idleMs);
 }
 
-function isWithoutBody({ headers }: IncomingMessage): boolean {
-  return headers['transfer-encoding'] === undefined && (headers['content-length'] ?? '0') === '0';
-}
-
 function estimateBytes({ rawHeaders, url }: IncomingMessage): number {
   let bytes = REQUEST_BYTES + rawHeaders.length * (LINE_BYTES / 2) + (url?.length ?? 0);
   for (const text of rawHeaders) bytes += text.length;
--- a/src/common/httpServer.ts
+++ b/src/common/httpServer.ts
@@ -39,11 +39,6 @@
   return getBodyCollector(request).read(maxBytes, () => true);
 }
 
-/** Returns whether the headers announce a body. */
-export function hasBody({ headers }: IncomingMessage): boolean {
-  return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
-}
-
 /**
  * Starts `app` on an address. An address that is taken is tried again for a while; then
  * `unavailable` is raised. `listener` receives the requests in place of `app`.
--- a/src/common/requestBody.ts
+++ b/src/common/requestBody.ts
@@ -218,3 +218,8 @@
     if (!isPaced) source.hold(held);
   }
 }
+
+/** Returns whether the headers announce a body. */
+export function hasBody({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
+}
--- a/src/gateway/bodyReader.ts
+++ b/src/gateway/bodyReader.ts
@@ -7,8 +7,7 @@
 import type { Clock } from '../common/clock.js';
 import { callAt } from '../common/delay.js';
 import { bytesPerMb, type ClientMemory } from '../common/clientMemory.js';
-import { hasBody } from '../common/httpServer.js';
-import { getBodyCollector, type BodyCollector } from '../common/requestBody.js';
+import { getBodyCollector, hasBody, type BodyCollector } from '../common/requestBody.js';
 import type { LocalReply } from './responseWriter.js';
 
 /** Limit while the routing table states none. */
