--- a/src/common/httpServer.ts
+++ b/src/common/httpServer.ts
@@ -76,7 +76,7 @@
   listener = app.handler as RequestListener,
 ): Promise<Server> {
   const { host, port } = splitAddress(target.address);
-  const server = (app.server as Server | undefined) ?? createHttpServer();
+  const server = app.server ?? createHttpServer();
   server.on('request', listener);
   await retryListening(target, () => tryListen(server, host, port));
   // Errors while it listens concern single connections that could not be accepted.
--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -81,6 +81,7 @@
     now,
     random: Math.random,
     registry,
+    scheduling: gateway.scheduling,
     onLeaving: (announcement) => feed.announce(announcement),
   });
   const quotas = createQuotas({
@@ -229,6 +230,7 @@
       loads: endpoints.listLoads(),
       uses: quotas.listUses(),
       waiting: scheduler.waitingCount,
+      versionOutcomes: [],
     };
   }
 
--- a/src/feed/feedServer.ts
+++ b/src/feed/feedServer.ts
@@ -291,6 +291,7 @@
       reports: [],
       crashRecords: [],
       keepersIndex: 0,
+      rollouts: [],
       isCurrent: host.isCurrent(),
       ...update,
     };
--- a/src/gateway/endpointTracker.ts
+++ b/src/gateway/endpointTracker.ts
@@ -55,12 +55,20 @@
   since: number;
 }
 
+/**
+ * Where endpoints are chosen by expected latency and started slowly. `auto` means the pools in which
+ * an endpoint has stated how much its VM slows it down.
+ */
+export type Scheduling = 'basic' | 'adaptive' | 'auto';
+
 /** Dependencies of the tracker. */
 export interface EndpointTrackerHost {
   logger: Logger;
   now(): number;
   random(): number;
   registry: EndpointRegistry;
+  /** Which pools are adaptive; `auto` by default. */
+  scheduling?: Scheduling;
   /** Called once when an endpoint states in a response that it leaves. */
   onLeaving(announcement: Announcement): void;
 }
@@ -77,6 +85,8 @@
   getOccupancy(endpoint: Endpoint): number;
   /** Estimated prompt tokens of all gateways that an endpoint has not processed yet. */
   getUnreadTokens(endpoint: Endpoint): number;
+  /** Whether the endpoints of a pool are chosen by expected latency and started slowly. */
+  isAdaptive(pool: string): boolean;
   applyReport(report: GatewayReport): void;
   /** Records what an endpoint states of itself in the response to a request sent at `sentAt`. */
   recordStatements(endpoint: Endpoint, head: ResponseHead, sentAt: number): void;
@@ -91,6 +101,9 @@
   const pacer = createReadPacer(host.now);
   const endpoints = new Map<string, Endpoint>();
   const peerLoads = createPeerLoads(host.now);
+  const { scheduling = 'auto' } = host;
+  /** Pools in which an endpoint has stated how much its VM slows it down. */
+  const slowedPools = new Set<string>();
 
   return {
     syncWithRegistry,
@@ -98,6 +111,7 @@
     hasReady,
     getOccupancy,
     getUnreadTokens,
+    isAdaptive,
     applyReport,
     recordStatements,
     listLoads,
@@ -195,6 +209,11 @@
     return unreadTokens + peerLoads.countUnreadTokens(endpointId, speed.promptTokenMs ?? 0);
   }
 
+  function isAdaptive(pool: string): boolean {
+    if (scheduling === 'auto') return slowedPools.has(pool);
+    return scheduling === 'adaptive';
+  }
+
   /** Requests of other gateways, derived from the load that the endpoint itself reported. */
   function getSelfReportedOthers({ selfReported }: Endpoint): number {
     if (selfReported === undefined || host.now() - selfReported.at > LOAD_RETENTION_MS) return 0;
@@ -241,6 +260,7 @@
 
   function recordLoad(endpoint: Endpoint, load: ReportedLoad): void {
     endpoint.selfReported = { ...load, at: host.now(), ownRunning: endpoint.running };
+    if (load.slowdown !== undefined) slowedPools.add(endpoint.announcement.pool);
   }
 
   function recordLeaving({ announcement }: Endpoint): void {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -91,6 +91,8 @@
   running: number;
   waiting: number;
   slots: number;
+  /** How long work takes on the endpoint's VM now, relative to its usual time; undefined if not stated. */
+  slowdown: number | undefined;
 }
 
 /** Translates between a protocol on the wire and the gateway's own types. */
--- a/src/keeper/state.ts
+++ b/src/keeper/state.ts
@@ -72,6 +72,10 @@
         return { kind: 'solo', outcome: suspects.close(change.value) };
       case 'tableDeclare':
         return { kind: 'table', outcome: table.declare(change.value) };
+      case 'rolloutBegin':
+      case 'rolloutStep':
+      case 'rolloutEnd':
+        return { kind: 'done' };
       default:
         return assertNever(change);
     }
--- a/test/unit/gateway/quotas.test.ts
+++ b/test/unit/gateway/quotas.test.ts
@@ -110,6 +110,7 @@
       loads: [],
       uses: quotas.listUses(),
       waiting: 0,
+      versionOutcomes: [],
     };
     const others = gateways.filter((other) => other !== quotas);
     return {
