--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,7 +1,8 @@
 /**
- * Two requests that crash the replicas that run them come again and again. For the first seconds all
- * replicas also fail a part of their requests. Counts how often each request reaches replicas later
- * than `contactMs` after its third crash.
+ * Two replicas of a service crash behind a cut from control, and start again under the ids that they
+ * had, with the next version of their software. Gateways reach them all the while. Then three more
+ * replicas crash, and the streams that break off there go on. Counts the streams that hold events
+ * from replicas of two versions.
  */
 
 import { dirname } from 'node:path';
@@ -15,45 +16,57 @@
 import { startReplica } from '../lib-2/replica.mjs';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-const REPLICA_COUNT = 7;
-const CAPACITY = 6;
-const AWAY_MS = 3_000;
-const WORK_MS = 40;
-/** `srv_grey` as on the users' days: `how = "errors all"`, `x = 0.45`, `for_s = 4.0`. */
-const GREY_SHARE = 0.45;
-const GREY_MS = 4_000;
-/** Time between two tries of the client that sends the request. */
-const CRASHING_INTERVAL_MS = 700;
-const SOUND_INTERVAL_MS = 100;
-const PLAY_MS = 20_000;
-/** The rule allows three retries later than `contactMs` after the third crash. */
-const MAX_LATE_RETRIES = 3;
-const RESPONSIBLE_CRASHES = 3;
+const REPLICA_COUNT = 12;
+const CAPACITY = 11;
+/** `srv_cut` with `how = "reborn"` at its largest dose: `share = 0.2`, `for_s = 5`. */
+const CUT_COUNT = 2;
+const CUT_MS = 5_000;
+/** Time from the crash of a replica to its next start. */
+const AWAY_MS = 2_000;
+/** `srv_crash` as on the users' days: `share = 0.25`, `for_s = 2.0`, here of 3 replicas. */
+const CRASH_COUNT = 3;
+const CRASH_AFTER_MS = 4_700;
+const EVENT_COUNT = 40;
+const EVENT_INTERVAL_MS = 60;
+const FIRST_EVENT_MS = 60;
+const STREAM_INTERVAL_MS = 25;
+const CALM_MS = 5_000;
+const END_MS = 6_000;
+const DEADLINE_MS = 8_000;
+/** The rule allows two streams. */
+const MAX_MIXED_STREAMS = 2;
 
-const HOST = 'desk.example';
+const HOST = 'draft.example';
 const KEY = 'key-of-the-shop';
-const CRASHING_BODIES = ['{"order":"crashes replicas"}', '{"order":"also crashes replicas"}'];
 
 const configuration = {
   version: 7,
   routes: [
     {
-      name: 'order-place',
+      name: 'restock-draft',
       host: HOST,
-      pathPrefix: '/orders/',
-      kind: 'non_idempotent',
-      timeoutMs: 1_500,
-      sloMs: 386,
-      priority: 1,
-      service: 'order-desk',
-      attempts: 1,
+      pathPrefix: '/drafts/',
+      kind: 'streaming',
+      timeoutMs: DEADLINE_MS,
+      sloMs: 600,
+      priority: 0,
+      service: 'assistant',
+      attempts: 2,
       public: false,
-      sticky: false,
-      resumable: false,
+      sticky: true,
+      resumable: true,
+      itlTargetMs: 300,
     },
   ],
   services: [
-    { name: 'order-desk', healthPath: '/healthz', maxConns: 110, protocol: 'h1', tls: false },
+    {
+      name: 'assistant',
+      healthPath: '/healthz',
+      maxConns: 370,
+      protocol: 'h1',
+      tls: false,
+      backend: { capacity: CAPACITY, kvCapacity: 444_000, models: [{ name: 'm' }] },
+    },
   ],
   limits: {
     maxHeaderBytes: 16_384,
@@ -67,10 +80,7 @@
 const record = createRecord(dirname(fileURLToPath(import.meta.url)));
 let deployment;
 const replicas = [];
-/** Times at which each request has crashed a replica, and at which it has reached one. */
-const crashing = new Map(CRASHING_BODIES.map((body) => [body, { crashedAt: [], arrivedAt: [] }]));
-let greyUntil = 0;
-const sound = { answers: 0 };
+const streams = { answered: 0, broken: 0, mixed: 0 };
 
 try {
   process.exitCode = await run();
@@ -89,98 +99,102 @@
   await replaceConfiguration(keepers, configuration, record, delay);
   for (let index = 0; index < REPLICA_COUNT; index += 1) {
     const zone = `zone-${'abc'[index % 3]}`;
-    const options = { host: '127.0.0.1', service: 'order-desk', zone, capacity: CAPACITY };
+    const options = { host: '127.0.0.1', service: 'assistant', zone, capacity: CAPACITY };
     replicas.push(await startReplica({ ...options, keepers, handle, record }));
   }
   await waitUntil(() => areReady(gateways), 15_000, 'gateways that are ready and serve');
   // All machines are in touch.
   await delay(bounds.contactMs);
-  if (hasTrouble) greyUntil = performance.now() + GREY_MS;
-  await play(gateways);
+  const playing = play(gateways, CALM_MS + CRASH_AFTER_MS + END_MS);
+  await delay(CALM_MS);
+  if (hasTrouble) cutReborn();
+  await delay(CRASH_AFTER_MS);
+  for (const replica of replicas.slice(-CRASH_COUNT)) replica.crash(AWAY_MS);
+  await playing;
   return judge();
 }
 
+function cutReborn() {
+  for (const replica of replicas.slice(0, CUT_COUNT)) {
+    replica.cutFromControl(CUT_MS);
+    replica.crash(AWAY_MS, { keepsId: true, nextVersion: 'v2' });
+  }
+}
+
 async function areReady(gateways) {
   for (const gateway of gateways) {
     const { status } = await send(gateway.readiness, { path: '/turmericrack/readyz' });
     if (status !== 200) return false;
-    const answer = await sendOrder(gateway, '{"order":"sound"}');
+    const answer = await sendDraft(gateway, createAttemptId());
     if (answer.status !== 200) return false;
   }
   return true;
 }
 
-async function play(gateways) {
-  const endAt = performance.now() + PLAY_MS;
-  const playing = playSound(gateways, endAt);
-  for (let turn = 0; performance.now() < endAt; turn += 1) {
-    const body = CRASHING_BODIES[turn % CRASHING_BODIES.length];
-    const tries = Math.floor(turn / CRASHING_BODIES.length);
-    void sendCrashing(gateways[tries % gateways.length], body);
-    await delay(CRASHING_INTERVAL_MS);
-  }
-  await playing;
-}
-
-async function playSound(gateways, endAt) {
+async function play(gateways, lengthMs) {
+  const endAt = performance.now() + lengthMs;
+  const open = [];
   for (let turn = 0; performance.now() < endAt; turn += 1) {
-    void sendOrder(gateways[turn % gateways.length], `{"order":${turn}}`).then(({ status }) => {
-      if (status === 200) sound.answers += 1;
-    });
-    await delay(SOUND_INTERVAL_MS);
+    open.push(playStream(gateways[turn % gateways.length]));
+    await delay(STREAM_INTERVAL_MS);
   }
+  await Promise.all(open);
 }
 
-async function sendCrashing(gateway, body) {
+async function playStream(gateway) {
   const id = createAttemptId();
-  record(`request ${id}, which crashes replicas, is sent to ${gateway.name}`);
-  const { status, error } = await sendOrder(gateway, body, id);
-  record(`request ${id} gets ${error ?? status}`);
+  const { status, body = '', error } = await sendDraft(gateway, id);
+  const versions = new Set([...body.matchAll(/^data: (\S+) /gm)].map(([, version]) => version));
+  const isWhole = body.includes(`id: ${EVENT_COUNT}\n`);
+  if (status === 200 && isWhole) streams.answered += 1;
+  else streams.broken += 1;
+  if (versions.size > 1) streams.mixed += 1;
+  const seen = [...versions].join(' and ');
+  record(`stream ${id} of ${gateway.name}: ${error ?? status}, whole: ${isWhole}, ${seen}`);
 }
 
-function sendOrder({ http }, body, id = createAttemptId()) {
+function sendDraft({ http }, id) {
+  const body = JSON.stringify({ draft: id });
   const headers = {
     Host: HOST,
     'Content-Type': 'application/json',
     'Content-Length': body.length,
     'Turmericrack-Attempt-Id': id,
-    'Turmericrack-Deadline-Ms': '1500',
+    'Turmericrack-Deadline-Ms': String(DEADLINE_MS),
     'Turmericrack-Key': KEY,
+    'Turmericrack-Model': 'm',
+    'Turmericrack-Token-Usage': '400,80',
+    'Turmericrack-Prefix-Hash': `5c1e07a2:60,${id.slice(0, 8)}:340`,
   };
-  return send(http, { method: 'POST', path: '/orders/1', headers, body, timeoutMs: 1_500 });
+  return send(http, { method: 'POST', path: '/drafts/1', headers, body, timeoutMs: DEADLINE_MS });
 }
 
-function handle({ body, attemptId, id, reply, replica }) {
-  const times = crashing.get(body.toString());
-  const time = performance.now();
-  if (times !== undefined) {
-    times.arrivedAt.push(time);
-    record(`request ${attemptId} reaches replica ${id}`);
-  }
-  if (time < greyUntil && Math.random() < GREY_SHARE) {
-    if (times !== undefined) record(`replica ${id} fails request ${attemptId} with 500`);
-    reply(500, 'failed');
-    return;
-  }
-  if (times === undefined) {
-    setTimeout(() => reply(200, 'ordered'), WORK_MS);
-    return;
-  }
-  times.crashedAt.push(time);
-  record(`replica ${id} runs request ${attemptId}`);
-  replica.crash(AWAY_MS);
+function handle({ request, response, attemptId, id, version }) {
+  const last = Number(request.headers['last-event-id'] ?? 0);
+  if (last > 0) record(`stream ${attemptId} goes on after event ${last} at ${id}, ${version}`);
+  setTimeout(() => {
+    if (response.destroyed) return;
+    response.writeHead(200, {
+      'Content-Type': 'text/event-stream',
+      'Turmericrack-Attempt-Id': attemptId,
+      'Turmericrack-Response-Signature': `${id}.${attemptId}`,
+    });
+    writeEvent(response, last + 1, version);
+  }, FIRST_EVENT_MS);
 }
 
-function judge() {
-  const late = [...crashing].map(([body, times]) => countLate(body, times));
-  return late.some((count) => count > MAX_LATE_RETRIES) ? 1 : 0;
+function writeEvent(response, number, version) {
+  if (response.destroyed) return;
+  response.write(`id: ${number}\ndata: ${version} tokens of event ${number}\n\n`);
+  if (number === EVENT_COUNT) response.end();
+  else setTimeout(() => writeEvent(response, number + 1, version), EVENT_INTERVAL_MS);
 }
 
-function countLate(body, { crashedAt, arrivedAt }) {
-  const third = crashedAt[RESPONSIBLE_CRASHES - 1];
-  if (third === undefined) throw new Error('a request has not crashed three replicas');
-  const late = arrivedAt.filter((time) => time > third + bounds.contactMs).length;
-  const crashes = crashedAt.length;
-  record(`${body}: crashes: ${crashes}; late retries: ${late} (${MAX_LATE_RETRIES} allowed)`);
-  return late;
+function judge() {
+  const exits = [...deployment.keepers, ...deployment.gateways].flatMap(({ ownExits }) => ownExits);
+  const { answered, broken, mixed } = streams;
+  record(`processes that ended: ${exits.length}; streams answered: ${answered}, broken: ${broken}`);
+  record(`streams of two versions: ${mixed} (${MAX_MIXED_STREAMS} allowed)`);
+  if (answered === 0) throw new Error('no stream was answered');
+  return mixed > MAX_MIXED_STREAMS ? 1 : 0;
 }
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -18,6 +18,7 @@
 const ADMIN_PORT = 8229;
 const PORT_RANGE = [7600, 7615];
 const POLL_MS = 50;
+const START_TIMEOUT_MS = 5_000;
 const STOP_TIMEOUT_MS = 4_000;
 
 /** Bounds of the users' small sites. */
@@ -99,23 +100,29 @@
   return { command: read('run').split(' '), template: read('template') };
 }
 
-/** Starts keepers and gateways, each on an address of its own. */
-export async function startDeployment({ keeperCount = 3, gatewayCount = 2, record }) {
+/**
+ * Starts keepers and gateways, each on an address of its own. The spare keepers are machines that
+ * are added later.
+ */
+export async function startDeployment(options) {
+  const { keeperCount = 3, spareCount = 0, gatewayCount = 2, record } = options;
   const folder = mkdtempSync(join(tmpdir(), 'review-2-'));
-  const addresses = await pickAddresses(keeperCount + gatewayCount);
-  const keeperIps = addresses.slice(0, keeperCount);
-  const seeds = keeperIps.map((ip) => `${ip}:${ADMIN_PORT}`);
+  const addresses = await pickAddresses(keeperCount + spareCount + gatewayCount);
+  const keeperIps = addresses.slice(0, keeperCount + spareCount);
+  const seeds = keeperIps.slice(0, keeperCount).map((ip) => `${ip}:${ADMIN_PORT}`);
   const keepers = keeperIps.map((ip, index) => createMachine('keeper', ip, index));
   const gateways = addresses
-    .slice(keeperCount)
+    .slice(keeperCount + spareCount)
     .map((ip, index) => createMachine('gateway', ip, index));
   const machines = [...keepers, ...gateways];
-  for (const machine of machines) machine.start(true);
-  await waitUntil(() => machines.every(isAlive), 5_000, 'start of all processes');
+  const first = [...keepers.slice(0, keeperCount), ...gateways];
+  for (const machine of first) machine.start(true);
+  await waitUntil(() => first.every(isAlive), START_TIMEOUT_MS, 'start of all processes');
 
   return {
     folder,
-    keepers,
+    keepers: keepers.slice(0, keeperCount),
+    spares: keepers.slice(keeperCount),
     gateways,
     async stop() {
       for (const machine of machines) machine.kill();
@@ -149,6 +156,15 @@
         machine.isEnded = true;
         machine.process?.kill('SIGKILL');
       },
+      /** Loses the disk; the machine is down for `downMs` and back with an empty one. */
+      async loseDisk(downMs) {
+        record(`${name} loses its disk`);
+        machine.kill();
+        await waitUntil(() => !isAlive(machine), STOP_TIMEOUT_MS, `end of ${name}`);
+        rmSync(join(folder, name), { recursive: true, force: true });
+        await delay(downMs);
+        machine.start(false);
+      },
     };
     return machine;
   }
