--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,6 +1,6 @@
 /**
- * Two replicas of a service crash behind a cut from control, and start again under the ids that they
- * had, with the next version of their software. Gateways reach them all the while. Then three more
+ * Three replicas of a service crash behind a cut from control, and start again under the ids that they
+ * had, with the next version of their software. Gateways reach them all the while. Then four more
  * replicas crash, and the streams that break off there go on. Counts the streams that hold events
  * from replicas of two versions.
  */
@@ -16,20 +16,20 @@
 import { startReplica } from '../lib-2/replica.mjs';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-const REPLICA_COUNT = 12;
+const REPLICA_COUNT = 16;
 const CAPACITY = 11;
-/** `srv_cut` with `how = "reborn"` at its largest dose: `share = 0.2`, `for_s = 5`. */
-const CUT_COUNT = 2;
+/** `srv_cut` with `how = "reborn"` at its dose: `share = 0.2` at most, `for_s = 5`. */
+const CUT_COUNT = 3;
 const CUT_MS = 5_000;
 /** Time from the crash of a replica to its next start. */
 const AWAY_MS = 2_000;
-/** `srv_crash` as on the users' days: `share = 0.25`, `for_s = 2.0`, here of 3 replicas. */
-const CRASH_COUNT = 3;
+/** `srv_crash` as on the users' days: `share = 0.25`, `for_s = 2.0`, here of 4 replicas. */
+const CRASH_COUNT = 4;
 const CRASH_AFTER_MS = 4_700;
 const EVENT_COUNT = 40;
 const EVENT_INTERVAL_MS = 60;
 const FIRST_EVENT_MS = 60;
-const STREAM_INTERVAL_MS = 25;
+const STREAM_INTERVAL_MS = 20;
 const CALM_MS = 5_000;
 const END_MS = 6_000;
 const DEADLINE_MS = 8_000;
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -21,7 +21,7 @@
 const START_TIMEOUT_MS = 5_000;
 const STOP_TIMEOUT_MS = 4_000;
 
-/** Bounds of the users' small sites. */
+/** Bounds of orehche-plovdiv. */
 export const bounds = {
   seedLagS: 3,
   reuseAfterS: 2,
@@ -38,13 +38,13 @@
   revokeMs: 5_000,
   retryRatio: 0.2,
   retryWindowS: 10,
-  retryBurst: 56,
+  retryBurst: 52,
   quotaWindowS: 8,
   quotaExcess: 0.1,
   quotaBurst: 140_000,
   recoveryS: 12,
   deliveryLagMs: 120,
-  retryAfterS: 6.7,
+  retryAfterS: 10,
 };
 
 export function delay(ms) {
