Review: end what a case has started however it ends

Cause: a case that was stopped, or that failed outside its run, left its processes or ended with 1, as if the rule was broken.

Change: one frame for all cases; it ends with 2 then, and its processes with it.

--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -8,6 +8,7 @@
 import { performance } from 'node:perf_hooks';
 import process from 'node:process';
 import { fileURLToPath } from 'node:url';
+import { runCase } from '../lib-2/caseRun.mjs';
 import { replaceConfiguration, send } from '../lib-2/client.mjs';
 import { bounds, delay, startDeployment, waitUntil } from '../lib-2/deployment.mjs';
 import { createRecord } from '../lib-2/record.mjs';
@@ -56,15 +57,11 @@
 const record = createRecord(dirname(fileURLToPath(import.meta.url)));
 let deployment;
 
-try {
-  process.exitCode = await run();
-} catch (caught) {
-  record(`the case could not run: ${caught.stack}`);
-  process.exitCode = 2;
-} finally {
+await runCase(record, run, cleanUp);
+
+async function cleanUp() {
   await deployment?.stop();
 }
-process.exit();
 
 async function run() {
   deployment = await startDeployment({ spareCount: 1, gatewayCount: 1, record });
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -9,6 +9,7 @@
 import process from 'node:process';
 import { setTimeout } from 'node:timers';
 import { fileURLToPath } from 'node:url';
+import { runCase } from '../lib-2/caseRun.mjs';
 import { createAttemptId, replaceConfiguration, send } from '../lib-2/client.mjs';
 import { bounds, delay, startDeployment, waitUntil } from '../lib-2/deployment.mjs';
 import { createRecord } from '../lib-2/record.mjs';
@@ -81,16 +82,12 @@
 const arrivedAt = [];
 const sound = { answers: 0 };
 
-try {
-  process.exitCode = await run();
-} catch (caught) {
-  record(`the case could not run: ${caught.stack}`);
-  process.exitCode = 2;
-} finally {
+await runCase(record, run, cleanUp);
+
+async function cleanUp() {
   for (const replica of replicas) replica.stop();
   await deployment?.stop();
 }
-process.exit();
 
 async function run() {
   deployment = await startDeployment({ gatewayCount: 2, record });
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -115,6 +115,9 @@
     .slice(keeperCount + spareCount)
     .map((ip, index) => createMachine('gateway', ip, index));
   const machines = [...keepers, ...gateways];
+  process.on('exit', () => {
+    for (const machine of machines) machine.kill();
+  });
   const first = [...keepers.slice(0, keeperCount), ...gateways];
   for (const machine of first) machine.start(true);
   await waitUntil(() => first.every(isAlive), START_TIMEOUT_MS, 'start of all processes');
