--- a/review/lib-3/replica.mjs
+++ b/review/lib-3/replica.mjs
@@ -178,6 +178,7 @@
   for (let event = first; event <= plan.events; event += 1) {
     if (response.destroyed) return;
     if (isCrashing && event - first >= (plan.crashAfterEvents ?? 0)) {
+      if (plan.crashAfterEvents === 0) response.write(`id: ${event}\nda`);
       // What has been written is on its way before the process is gone.
       await new Promise((resolve) => {
         setImmediate(resolve);
