review: case 15, a version whose slow answers nobody waits for

Cause: an attempt whose caller leaves counts neither for nor against its version, so that answers that come too late for their callers are not judged.

--- a/review/lib-3/client.mjs
+++ b/review/lib-3/client.mjs
@@ -9,8 +9,8 @@
 
 /**
  * Sends one attempt to a gateway. Resolves with what the client saw: `status` is 0 without an
- * answer, `isComplete` tells whether the answer ended as a whole. After `maxGapMs` without further
- * bytes of an answer that has begun, the client leaves.
+ * answer, `isComplete` tells whether the answer ended as a whole. After `maxGapMs` without bytes
+ * of an answer, the client leaves.
  */
 export function sendAttempt({
   address,
@@ -54,8 +54,7 @@
         response.setEncoding('utf8');
         response.on('data', (part) => {
           seen.text += part;
-          clearTimeout(gapTimer);
-          gapTimer = setTimeout(() => request.destroy(new Error('gap')), maxGapMs);
+          watchGap();
         });
         response.on('end', () => {
           seen.isComplete = response.complete;
@@ -66,6 +65,12 @@
     );
     request.on('error', (error) => end(error.code ?? error.message));
     request.end(body);
+    watchGap();
+
+    function watchGap() {
+      clearTimeout(gapTimer);
+      gapTimer = setTimeout(() => request.destroy(new Error('gap')), maxGapMs);
+    }
   });
 }
 
--- a/review/lib-3/crashes.mjs
+++ b/review/lib-3/crashes.mjs
@@ -8,7 +8,7 @@
 const CRASHING_PART = '48720f35';
 const CRASHING_BODY = 'the request that crashes replicas';
 const SOUND_PART = '5c1e07a2';
-const LOAD_MS = 24_000;
+const LOAD_MS = 16_000;
 const SOUND_INTERVAL_MS = 100;
 const SOUND_PER_CRASHING = 5;
 /** "the replica is back after some seconds" */
--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -126,7 +126,12 @@
 }
 
 /** Starts keepers and gateways; `moreBounds` are added to the bounds of the settings. */
-export async function startDeployment({ gateways = 3, keepers = 3, moreBounds = {} } = {}) {
+export async function startDeployment({
+  gateways = 3,
+  keepers = 3,
+  memoryMb = 350,
+  moreBounds = {},
+} = {}) {
   const deploy = parse(readFileSync('deploy/system.toml', 'utf8'));
   const folder = mkdtempSync(join(tmpdir(), 'review-'));
   const network = `127.${20 + Math.floor(Math.random() * 200)}.${1 + Math.floor(Math.random() * 250)}`;
@@ -193,7 +198,7 @@
         .slice(0, 3)
         .map(({ ip }) => `${ip}:${adminPort}`),
       bootstrap,
-      limits: { memoryMb: isGateway ? 350 : 346 },
+      limits: { memoryMb: isGateway ? memoryMb : 346 },
       dataDir: isGateway ? null : join(folder, `data-${machine.name}`),
       faultTolerance: { machines: 1, zones: 0, regions: 0 },
       bounds: { ...bounds, ...moreBounds },
--- a/review/lib-3/replica.mjs
+++ b/review/lib-3/replica.mjs
@@ -159,7 +159,7 @@
   await delay(workMs);
   if (response.destroyed) return;
   if (isFailing) {
-    response.writeHead(500, createHead(callId));
+    response.writeHead(plan.failStatus ?? 500, createHead(callId));
     response.end('failed');
     return;
   }
