--- a/review/lib-3/replica.mjs
+++ b/review/lib-3/replica.mjs
@@ -4,9 +4,8 @@
  *
  * Plan: id, service, version, address, zone, slots, control (addresses), recordPath, workMs,
  * events (of a stream; 0 for a plain answer), eventMs, isFramed (whether answers have chunks),
- * crashPart, crashAfterEvents, crashBody, maxRate, firstBeatAfterMs, slowShare, slowTimes, failShare.
+ * crashPart (of prompts), firstBeatAfterMs, slowShare, slowTimes, failShare, failStatus.
  */
-import { Buffer } from 'node:buffer';
 import { setImmediate, setTimeout } from 'node:timers';
 import { appendFileSync } from 'node:fs';
 import { createServer, request as sendRequest } from 'node:http';
@@ -100,7 +99,6 @@
     'Turmericrack-Response-Signature': `3e1b.${id}.${version}`,
     'Turmericrack-Replica-Load': load,
     ...(plan.events > 0 ? { 'Content-Type': 'text/event-stream' } : {}),
-    ...(plan.maxRate === undefined ? {} : { 'Server-Limit': String(plan.maxRate) }),
   };
 }
 
@@ -110,10 +108,9 @@
   process.kill(process.pid, 'SIGKILL');
 }
 
-function crashes(request, body) {
+function crashes(request) {
   const parts = String(request.headers['turmericrack-prefix-hash'] ?? '').split(',');
-  const hasPart = parts.slice(0, -1).some((part) => part.split(':')[0] === plan.crashPart);
-  return hasPart || (plan.crashBody !== undefined && body === plan.crashBody);
+  return parts.slice(0, -1).some((part) => part.split(':')[0] === plan.crashPart);
 }
 
 function getWorkMs() {
@@ -129,9 +126,7 @@
     response.end();
     return;
   }
-  const parts = [];
-  for await (const part of request) parts.push(part);
-  const body = Buffer.concat(parts).toString();
+  for await (const part of request) void part;
   if (active >= plan.slots + (plan.queue ?? 24)) {
     record('shed', { call: callId });
     response.writeHead(503, {
@@ -147,7 +142,7 @@
   });
   const { isSlow, workMs } = getWorkMs();
   const isFailing = Math.random() < (plan.failShare ?? 0);
-  const isCrashing = crashes(request, body);
+  const isCrashing = crashes(request);
   record('run', {
     call: callId,
     path: request.url,
@@ -177,8 +172,8 @@
   const first = Number(request.headers['last-event-id'] ?? 0) + 1;
   for (let event = first; event <= plan.events; event += 1) {
     if (response.destroyed) return;
-    if (isCrashing && event - first >= (plan.crashAfterEvents ?? 0)) {
-      if (plan.crashAfterEvents === 0) response.write(`id: ${event}\nda`);
+    if (isCrashing) {
+      response.write(`id: ${event}\nda`);
       // What has been written is on its way before the process is gone.
       await new Promise((resolve) => {
         setImmediate(resolve);
