--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,177 +1,53 @@
 /**
- * A request that crashes the replicas of one service comes again and again. The same caller sends a
- * sound request with the same path and body to another host, whose route leads to another service.
- * Counts how often the crashing request reaches replicas later than `contactMs` after its third
- * crash.
+ * A bad version is reverted. Before its replicas have left, the operator orders the next version.
  */
-
-import { dirname } from 'node:path';
-import { performance } from 'node:perf_hooks';
-import process from 'node:process';
-import { setTimeout } from 'node:timers';
-import { fileURLToPath } from 'node:url';
-import { runCase } from '../lib-2/caseRun.mjs';
-import { createAttemptId, replaceConfiguration, send } from '../lib-2/client.mjs';
-import { bounds, delay, startDeployment, waitUntil } from '../lib-2/deployment.mjs';
-import { createRecord } from '../lib-2/record.mjs';
-import { startReplica } from '../lib-2/replica.mjs';
-
-const hasTrouble = process.env.TROUBLE !== '0';
-const REPLICA_COUNT = 6;
-const CAPACITY = 6;
-const AWAY_MS = 3_000;
-const WORK_MS = 40;
-/** Time between two tries of the client that sends the request. */
-const CRASHING_INTERVAL_MS = 700;
-const SOUND_INTERVAL_MS = 400;
-const PLAY_MS = 20_000;
-/** The rule allows three retries later than `contactMs` after the third crash. */
-const MAX_LATE_RETRIES = 3;
-const RESPONSIBLE_CRASHES = 3;
-
-const ORDER_HOST = 'orders.example';
-const STOCK_HOST = 'stock.example';
-const PATH = '/items/17';
-const KEY = 'key-of-the-shop';
-
-const configuration = {
-  version: 7,
-  routes: [createRoute(ORDER_HOST, 'order-desk'), createRoute(STOCK_HOST, 'stock-desk')],
-  services: [createService('order-desk'), createService('stock-desk')],
-  limits: {
-    maxHeaderBytes: 16_384,
-    maxBodyBytes: 4_194_304,
-    headerTimeoutMs: 3_000,
-    idleTimeoutMs: 15_000,
+import { runCase } from '../lib-3/case.mjs';
+import { delay, waitFor } from '../lib-3/deployment.mjs';
+import { createScene, rolloutBounds } from '../lib-3/rollouts.mjs';
+
+const DURATION_S = 14;
+/** Share of the bad version's answers that are failures. */
+const FAIL_SHARE = 0.3;
+/** From the end of the first order to the next one. */
+const NEXT_ORDER_MS = 1_000;
+/** "At `reverted`, the new replicas drain some seconds later." */
+const DRAIN_AFTER_MS = 8_000;
+const OBSERVED_MS = 3_000;
+
+const scenery = {
+  service: { name: 'pusle-app', maxConns: 220 },
+  route: {
+    name: 'order',
+    pathPrefix: '/order/',
+    kind: 'non_idempotent',
+    service: 'pusle-app',
+    attempts: 1,
+    sloMs: 196,
+    timeoutMs: 2_500,
   },
-  tenants: [{ name: 'shop', apiKeys: [KEY], priority: 1 }],
+  plan: { slots: 6, workMs: 30, events: 0 },
+  requestsPerS: 150,
+  deadlineMs: 2_500,
 };
 
-const record = createRecord(dirname(fileURLToPath(import.meta.url)));
-let deployment;
-const replicas = [];
-/** Times at which the request has crashed a replica, and at which it has reached one. */
-const crashedAt = [];
-const arrivedAt = [];
-const sound = { answers: 0 };
-
-await runCase(record, run, cleanUp);
-
-async function cleanUp() {
-  for (const replica of replicas) replica.stop();
-  await deployment?.stop();
-}
-
-async function run() {
-  deployment = await startDeployment({ gatewayCount: 2, record });
-  const { keepers, gateways } = deployment;
-  await replaceConfiguration(keepers, configuration, record, delay);
-  await startReplicas(keepers, 'order-desk', handleOrder);
-  await startReplicas(keepers, 'stock-desk', handleStock);
-  await waitUntil(() => areReady(gateways), 15_000, 'gateways that are ready and serve');
-  // All machines are in touch.
-  await delay(bounds.contactMs);
-  await play(gateways);
-  return judge();
-}
-
-async function startReplicas(keepers, service, handle) {
-  for (let index = 0; index < REPLICA_COUNT; index += 1) {
-    const zone = `zone-${'abc'[index % 3]}`;
-    const options = { host: '127.0.0.1', service, zone, capacity: CAPACITY };
-    replicas.push(await startReplica({ ...options, keepers, handle, record }));
-  }
-}
-
-async function areReady(gateways) {
-  for (const gateway of gateways) {
-    const { status } = await send(gateway.readiness, { path: '/turmericrack/readyz' });
-    if (status !== 200) return false;
-    const answer = await sendTo(STOCK_HOST, gateway);
-    if (answer.status !== 200) return false;
-  }
-  return true;
-}
-
-async function play(gateways) {
-  const endAt = performance.now() + PLAY_MS;
-  const playing = playSound(gateways, endAt);
-  for (let turn = 0; performance.now() < endAt; turn += 1) {
-    if (hasTrouble) void sendCrashing(gateways[turn % gateways.length]);
-    await delay(CRASHING_INTERVAL_MS);
-  }
-  await playing;
-}
-
-async function playSound(gateways, endAt) {
-  for (let turn = 0; performance.now() < endAt; turn += 1) {
-    void sendTo(STOCK_HOST, gateways[turn % gateways.length]).then(({ status }) => {
-      if (status === 200) sound.answers += 1;
-    });
-    await delay(SOUND_INTERVAL_MS);
-  }
-}
-
-async function sendCrashing(gateway) {
-  const id = createAttemptId();
-  record(`request ${id}, which crashes replicas, is sent to ${gateway.name}`);
-  const { status, error } = await sendTo(ORDER_HOST, gateway, id);
-  record(`request ${id} gets ${error ?? status}`);
-}
-
-function sendTo(host, { http }, id = createAttemptId()) {
-  const headers = {
-    Host: host,
-    'Turmericrack-Attempt-Id': id,
-    'Turmericrack-Deadline-Ms': '1500',
-    'Turmericrack-Key': KEY,
-  };
-  return send(http, { path: PATH, headers, timeoutMs: 1_500 });
-}
-
-function handleOrder({ attemptId, id, replica }) {
-  const time = performance.now();
-  arrivedAt.push(time);
-  crashedAt.push(time);
-  record(`request ${attemptId} reaches replica ${id} of order-desk, which runs it`);
-  replica.crash(AWAY_MS);
-}
-
-function handleStock({ reply }) {
-  setTimeout(() => reply(200, 'in stock'), WORK_MS);
-}
-
-function judge() {
-  const third = crashedAt[RESPONSIBLE_CRASHES - 1];
-  const exits = [...deployment.keepers, ...deployment.gateways].flatMap(({ ownExits }) => ownExits);
-  record(`sound requests answered: ${sound.answers}; processes that ended: ${exits.length}`);
-  if (third === undefined) {
-    record(`crashes: ${crashedAt.length}; the rule asks for nothing`);
-    if (sound.answers === 0) throw new Error('no sound request was answered');
-    return 0;
-  }
-  const late = arrivedAt.filter((time) => time > third + bounds.contactMs).length;
-  record(`crashes: ${crashedAt.length}; late retries: ${late} (${MAX_LATE_RETRIES} allowed)`);
-  return late > MAX_LATE_RETRIES ? 1 : 0;
-}
-
-function createRoute(host, service) {
-  return {
-    name: service,
-    host,
-    pathPrefix: '/items/',
-    kind: 'idempotent',
-    timeoutMs: 1_500,
-    sloMs: 386,
-    priority: 1,
-    service,
-    attempts: 2,
-    public: false,
-    sticky: false,
-    resumable: false,
-  };
-}
-
-function createService(name) {
-  return { name, healthPath: '/healthz', maxConns: 110, protocol: 'h1', tls: false };
-}
+await runCase('review/10', { moreBounds: rolloutBounds }, async (host) => {
+  const { note, hasTrouble } = host;
+  const scene = await createScene(host, scenery);
+  await delay(2_000);
+  const orderedAt = await scene.order('v2', DURATION_S, { failShare: hasTrouble ? FAIL_SHARE : 0 });
+  const state = await waitFor('the end of the order', scene.readEnd, (DURATION_S + 4) * 1_000);
+  const endedAt = Date.now();
+  note(`v2 is ${state}`);
+  // "At `completed`, the old replicas stop immediately, without draining."
+  if (state === 'completed') await scene.endVersion('v1');
+  await delay(NEXT_ORDER_MS);
+  await scene.order('v3', DURATION_S);
+  await delay(endedAt + DRAIN_AFTER_MS - Date.now());
+  if (state === 'reverted') scene.drainVersion('v2');
+  const remainingMs = orderedAt + DURATION_S * 1_000 - Date.now();
+  await delay(Math.max(OBSERVED_MS, remainingMs));
+  await scene.endLoad();
+  const { broken, verdict } = scene.judge(orderedAt, DURATION_S, hasTrouble);
+  const failed = scene.answers.filter(({ status }) => status >= 500).length;
+  return { broken, verdict: `${verdict}; ${failed} clients got a failure` };
+});
