Case 12: endless streams in short chunks end a gateway for lack of memory

Cause: the beginning of an event is kept as one Buffer a chunk and counted by its bytes. A chunk of two bytes takes some 100 bytes of heap. Change: a case with two of four replicas whose streams never end an event.

--- /dev/null
+++ b/review/12/case.mjs
@@ -0,0 +1,178 @@
+/**
+ * Replicas in trouble answer streams with bytes that are no event and do not end, in short chunks,
+ * until the gateway closes. Requests of other callers, which a sound service runs, have to be answered.
+ */
+
+import { Buffer } from 'node:buffer';
+import { readFileSync } from 'node:fs';
+import { performance } from 'node:perf_hooks';
+import { setTimeout as delay } from 'node:timers/promises';
+import {
+  createAttemptId,
+  encodeRequest,
+  openConnection,
+  readResponse,
+  send,
+} from '../lib-4/client.mjs';
+import { createDeployment } from '../lib-4/deployment.mjs';
+import { configure, createConfiguration, createRoute } from '../lib-4/operator.mjs';
+import { isTroubled, runCase } from '../lib-4/record.mjs';
+import { answer, startReplica } from '../lib-4/replica.mjs';
+
+const MEMORY_MB = 346;
+const REPLICAS = 4;
+const REPLICAS_IN_TROUBLE = 2;
+const STREAMS = 16;
+const DEADLINE_MS = 12_000;
+/** Bytes of a chunk: less than one token. */
+const CHUNK_BYTES = 2;
+const WRITE_BYTES = 16 * 1_024;
+const SOUND_EVENTS = 40;
+/** Callers of a sound service, on connections that they keep. */
+const CALLERS = 8;
+/** Work of the first order of each connection, and of those that follow. */
+const FIRST_WORK_MS = 50;
+const WORK_MS = 10_000;
+/** The rule is broken by more than so many requests. */
+const MAX_CUT_OFF = 3;
+const ORDER_DEADLINE_MS = 15_000;
+/** Time in which the callers' orders have been passed on. */
+const SETTLE_MS = 500;
+const SAMPLE_MS = 250;
+
+await runCase('review/12', async (record, atEnd) => {
+  const deployment = await createDeployment({ gateways: 1, memoryMb: MEMORY_MB });
+  atEnd(deployment.stop);
+  for (const machine of deployment.machines) deployment.start(machine, true);
+  const routes = [
+    createRoute('explain', { service: 'model', kind: 'streaming', resumable: true }),
+    createRoute('order', {
+      service: 'app',
+      kind: 'non_idempotent',
+      timeoutMs: 15_000,
+      attempts: 1,
+    }),
+  ];
+  await configure(deployment, createConfiguration(1, routes, [{ name: 'model' }, { name: 'app' }]));
+  const replicas = [];
+  for (let index = 0; index < REPLICAS; index += 1) {
+    const plan = { id: `i-model-${index}`, service: 'model', capacity: 10 };
+    const isInTrouble = isTroubled && index < REPLICAS_IN_TROUBLE;
+    replicas.push(await startReplica(deployment, plan, isInTrouble ? pour : writeEvents));
+  }
+  const passedOn = new Set();
+  const app = { id: 'i-app', service: 'app', capacity: 10 };
+  replicas.push(await startReplica(deployment, app, serveOrder));
+  atEnd(() => Promise.all(replicas.map((replica) => replica.close())));
+  await deployment.waitUntilReady();
+  await delay(1_500);
+  const [gateway] = deployment.list('gateway');
+
+  let isOver = false;
+  let peakMb = 0;
+  const cutOff = [];
+  let answered = 0;
+  const sampling = sample();
+  const callers = Array.from({ length: CALLERS }, placeOrders);
+  await delay(SETTLE_MS);
+  const startedAt = performance.now();
+  const outcomes = await Promise.all(Array.from({ length: STREAMS }, explain));
+  isOver = true;
+  await Promise.all([sampling, ...callers]);
+  outcomes.forEach((outcome, index) => record.note(`stream ${index}: ${outcome}`));
+  const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
+  record.note(`${STREAMS} streams over ${seconds} s; the gateway took ${peakMb} MB at most`);
+  record.note(
+    `orders: ${answered} answered; passed on and cut off: ${cutOff.join(', ') || 'none'}`,
+  );
+  for (const end of gateway.ends) {
+    const reason = gateway.output.findLast((line) => line.includes('FATAL')) ?? '';
+    record.note(`the gateway ended by itself (${end}): ${reason}`);
+  }
+  if (cutOff.length > MAX_CUT_OFF) {
+    record.breaks(`${cutOff.length} requests passed on to a sound replica ended without an answer`);
+  }
+
+  async function explain() {
+    try {
+      const request = { path: '/explain/', id: createAttemptId(), deadlineMs: DEADLINE_MS };
+      const { status, end, body } = await send(gateway.http, request);
+      return `status ${status}, ${end}, ${body.length} bytes`;
+    } catch (error) {
+      return `no connection: ${error.code}`;
+    }
+  }
+
+  async function serveOrder(request, response) {
+    passedOn.add(request.headers['turmericrack-attempt-id']);
+    await delay(request.url === '/order/first' ? FIRST_WORK_MS : WORK_MS);
+    if (!response.destroyed) answer(response, 'placed');
+  }
+
+  /** Sends one order after the other on one connection until it ends. */
+  async function placeOrders() {
+    const socket = await openConnection(gateway.http);
+    for (let count = 0; !isOver && !socket.destroyed; count += 1) {
+      const id = createAttemptId();
+      const path = count === 0 ? '/order/first' : '/order/next';
+      const response = readResponse(socket);
+      socket.write(encodeRequest({ method: 'POST', path, id, deadlineMs: ORDER_DEADLINE_MS }));
+      const { status, end } = await response;
+      if (end === 'complete') {
+        answered += 1;
+      } else if (count > 0 && status === undefined && passedOn.has(id)) {
+        // The connection counts as kept from its second request on.
+        cutOff.push(id);
+      }
+    }
+    socket.destroy();
+  }
+
+  async function sample() {
+    while (!isOver) {
+      try {
+        const status = readFileSync(`/proc/${gateway.child.pid}/status`, 'utf8');
+        const mb = Math.round(Number(/VmHWM:\s*(\d+)/.exec(status)?.[1]) / 1_024);
+        peakMb = Math.max(peakMb, mb || 0);
+      } catch {
+        // The process has ended.
+      }
+      await delay(SAMPLE_MS);
+    }
+  }
+});
+
+function beginStream(response) {
+  response.writeHead(200, {
+    'Turmericrack-Response-Signature': 'sound',
+    'Content-Type': 'text/event-stream',
+  });
+  response.flushHeaders();
+}
+
+/** Writes chunks that never end an event, as fast as they are read. */
+function pour(_request, response) {
+  const { socket } = response;
+  beginStream(response);
+  const chunk = `${CHUNK_BYTES.toString(16)}\r\n${'x'.repeat(CHUNK_BYTES)}\r\n`;
+  const bytes = Buffer.from(chunk.repeat(Math.floor(WRITE_BYTES / chunk.length)));
+  write();
+
+  function write() {
+    while (!socket.destroyed) {
+      if (!socket.write(bytes)) {
+        socket.once('drain', write);
+        return;
+      }
+    }
+  }
+}
+
+async function writeEvents(_request, response) {
+  beginStream(response);
+  for (let id = 1; id <= SOUND_EVENTS; id += 1) {
+    response.write(`id: ${id}\ndata: some tokens\n\n`);
+    await delay(20);
+  }
+  response.end();
+}
