--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -19,15 +19,23 @@
 import { isTroubled, runCase } from '../lib-4/record.mjs';
 import { answer, startReplica } from '../lib-4/replica.mjs';
 
-const MEMORY_MB = 346;
-const REPLICAS = 4;
-const REPLICAS_IN_TROUBLE = 2;
-const STREAMS = 16;
-const DEADLINE_MS = 12_000;
-/** Bytes of a chunk: less than one token. */
-const CHUNK_BYTES = 2;
+/** Memory of the smaller edge machines of the sheet. */
+const MEMORY_MB = 200;
+const REPLICAS = 7;
+/** Of 20 answers of the replica in trouble, so many are spoiled (0.45). */
+const SPOILED_OF_20 = 9;
+/** Callers of streams, one at a time each. */
+const STREAM_CALLERS = 40;
+const STREAM_DEADLINE_MS = 12_000;
+/** Time for which streams are spoiled, as on the sheet. */
+const TROUBLE_MS = 6_500;
+/** Time after it in which the spoiled streams go on. */
+const AFTER_MS = 6_000;
+/** Bytes of a chunk. */
+const CHUNK_BYTES = 1;
 const WRITE_BYTES = 16 * 1_024;
-const SOUND_EVENTS = 40;
+const SOUND_EVENTS = 4;
+const EVENT_GAP_MS = 40;
 /** Callers of a sound service, on connections that they keep. */
 const CALLERS = 8;
 /** Work of the first order of each connection, and of those that follow. */
@@ -54,11 +62,15 @@
     }),
   ];
   await configure(deployment, createConfiguration(1, routes, [{ name: 'model' }, { name: 'app' }]));
+  const times = { startedAt: Number.POSITIVE_INFINITY };
+  let spoiled = 0;
+  let complete = 0;
+  let incomplete = 0;
   const replicas = [];
   for (let index = 0; index < REPLICAS; index += 1) {
     const plan = { id: `i-model-${index}`, service: 'model', capacity: 10 };
-    const isInTrouble = isTroubled && index < REPLICAS_IN_TROUBLE;
-    replicas.push(await startReplica(deployment, plan, isInTrouble ? pour : writeEvents));
+    const isInTrouble = isTroubled && index === 0;
+    replicas.push(await startReplica(deployment, plan, createStreams(isInTrouble)));
   }
   const passedOn = new Set();
   const app = { id: 'i-app', service: 'app', capacity: 10 };
@@ -75,34 +87,62 @@
   const sampling = sample();
   const callers = Array.from({ length: CALLERS }, placeOrders);
   await delay(SETTLE_MS);
-  const startedAt = performance.now();
-  const outcomes = await Promise.all(Array.from({ length: STREAMS }, explain));
+  times.startedAt = performance.now();
+  const streams = Array.from({ length: STREAM_CALLERS }, explain);
+  await Promise.race([delay(TROUBLE_MS + AFTER_MS), gateway.exited]);
   isOver = true;
-  await Promise.all([sampling, ...callers]);
-  outcomes.forEach((outcome, index) => record.note(`stream ${index}: ${outcome}`));
-  const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
-  record.note(`${STREAMS} streams over ${seconds} s; the gateway took ${peakMb} MB at most`);
+  await Promise.all([sampling, ...streams, ...callers]);
+  const seconds = ((performance.now() - times.startedAt) / 1_000).toFixed(1);
+  record.note(
+    `streams over ${seconds} s: ${complete} complete, ${incomplete} not; ${spoiled} spoiled`,
+  );
+  record.note(`the gateway took ${peakMb} MB at most`);
   record.note(
     `orders: ${answered} answered; passed on and cut off: ${cutOff.join(', ') || 'none'}`,
   );
   for (const end of gateway.ends) {
     const reason = gateway.output.findLast((line) => line.includes('FATAL')) ?? '';
-    record.note(`the gateway ended by itself (${end}): ${reason}`);
+    record.note(`the gateway ended (${end}) ${reason}`);
   }
   if (cutOff.length > MAX_CUT_OFF) {
     record.breaks(`${cutOff.length} requests passed on to a sound replica ended without an answer`);
   }
 
+  /** Asks for one stream after the other. */
   async function explain() {
-    try {
-      const request = { path: '/explain/', id: createAttemptId(), deadlineMs: DEADLINE_MS };
-      const { status, end, body } = await send(gateway.http, request);
-      return `status ${status}, ${end}, ${body.length} bytes`;
-    } catch (error) {
-      return `no connection: ${error.code}`;
+    while (!isOver) {
+      try {
+        const request = {
+          path: '/explain/',
+          id: createAttemptId(),
+          deadlineMs: STREAM_DEADLINE_MS,
+        };
+        const { status, end } = await send(gateway.http, request);
+        if (status === 200 && end === 'complete') complete += 1;
+        else incomplete += 1;
+      } catch {
+        incomplete += 1;
+        await delay(SAMPLE_MS);
+      }
     }
   }
 
+  /** Serves streams; a part of them is spoiled while the trouble lasts. */
+  function createStreams(isInTrouble) {
+    let count = 0;
+    return (_request, response) => {
+      const elapsedMs = performance.now() - times.startedAt;
+      const isSpoiled = count % 20 < SPOILED_OF_20 && elapsedMs >= 0 && elapsedMs < TROUBLE_MS;
+      count += 1;
+      if (!isInTrouble || !isSpoiled) {
+        writeEvents(response);
+        return;
+      }
+      spoiled += 1;
+      pour(response);
+    };
+  }
+
   async function serveOrder(request, response) {
     passedOn.add(request.headers['turmericrack-attempt-id']);
     await delay(request.url === '/order/first' ? FIRST_WORK_MS : WORK_MS);
@@ -128,14 +168,14 @@
     socket.destroy();
   }
 
+  /** The platform kills a process that uses more than the memory of its machine. */
   async function sample() {
     while (!isOver) {
-      try {
-        const status = readFileSync(`/proc/${gateway.child.pid}/status`, 'utf8');
-        const mb = Math.round(Number(/VmHWM:\s*(\d+)/.exec(status)?.[1]) / 1_024);
-        peakMb = Math.max(peakMb, mb || 0);
-      } catch {
-        // The process has ended.
+      const mb = readMemoryMb(gateway);
+      peakMb = Math.max(peakMb, mb);
+      if (mb > MEMORY_MB) {
+        record.note(`the gateway uses ${mb} MB, more than its machine has, and is killed`);
+        gateway.child.kill('SIGKILL');
       }
       await delay(SAMPLE_MS);
     }
@@ -151,7 +191,7 @@
 }
 
 /** Writes chunks that never end an event, as fast as they are read. */
-function pour(_request, response) {
+function pour(response) {
   const { socket } = response;
   beginStream(response);
   const chunk = `${CHUNK_BYTES.toString(16)}\r\n${'x'.repeat(CHUNK_BYTES)}\r\n`;
@@ -168,11 +208,21 @@
   }
 }
 
-async function writeEvents(_request, response) {
+async function writeEvents(response) {
   beginStream(response);
   for (let id = 1; id <= SOUND_EVENTS; id += 1) {
     response.write(`id: ${id}\ndata: some tokens\n\n`);
-    await delay(20);
+    await delay(EVENT_GAP_MS);
   }
   response.end();
 }
+
+/** Memory of a process; 0 if it has ended. */
+function readMemoryMb({ child }) {
+  try {
+    const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
+    return Math.round(Number(/VmRSS:\s*(\d+)/.exec(status)?.[1] ?? 0) / 1_024);
+  } catch {
+    return 0;
+  }
+}
