Cases 11, 12 and 14: share what they have in common

Cause: two cases held the same callers that place orders, and three the same reading of a process's memory. Change: review/lib-4/buyers.mjs and memory.mjs; the cases check what they did.

--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -4,20 +4,15 @@
  */
 
 import { Buffer } from 'node:buffer';
-import { readFileSync } from 'node:fs';
 import { performance } from 'node:perf_hooks';
 import { setTimeout as delay } from 'node:timers/promises';
-import {
-  createAttemptId,
-  encodeRequest,
-  openConnection,
-  readResponse,
-  send,
-} from '../lib-4/client.mjs';
+import { createBuyers, orderRoute, orderService } from '../lib-4/buyers.mjs';
+import { createAttemptId, send } from '../lib-4/client.mjs';
 import { createDeployment } from '../lib-4/deployment.mjs';
+import { readMemoryMb } from '../lib-4/memory.mjs';
 import { configure, createConfiguration, createRoute } from '../lib-4/operator.mjs';
 import { isTroubled, runCase } from '../lib-4/record.mjs';
-import { answer, startReplica } from '../lib-4/replica.mjs';
+import { startReplica } from '../lib-4/replica.mjs';
 
 /** Memory of the larger edge machine of the sheet. */
 const MEMORY_MB = 310;
@@ -36,15 +31,10 @@
 const WRITE_BYTES = 16 * 1_024;
 const SOUND_EVENTS = 4;
 const EVENT_GAP_MS = 40;
-/** Callers of a sound service, on connections that they keep. */
-const CALLERS = 8;
-/** Work of the first order of each connection, and of those that follow. */
-const FIRST_WORK_MS = 50;
+/** Callers that place orders, and the work of an order. */
+const BUYERS = 8;
 const WORK_MS = 10_000;
-/** The rule is broken by more than so many requests. */
-const MAX_CUT_OFF = 3;
-const ORDER_DEADLINE_MS = 15_000;
-/** Time in which the callers' orders have been passed on. */
+/** Time in which the long orders have been passed on. */
 const SETTLE_MS = 500;
 const SAMPLE_MS = 250;
 
@@ -54,14 +44,10 @@
   for (const machine of deployment.machines) deployment.start(machine, true);
   const routes = [
     createRoute('explain', { service: 'model', kind: 'streaming', resumable: true }),
-    createRoute('order', {
-      service: 'app',
-      kind: 'non_idempotent',
-      timeoutMs: 15_000,
-      attempts: 1,
-    }),
+    orderRoute,
   ];
-  await configure(deployment, createConfiguration(1, routes, [{ name: 'model' }, { name: 'app' }]));
+  await configure(deployment, createConfiguration(1, routes, [{ name: 'model' }, orderService]));
+  const buyers = createBuyers(WORK_MS);
   const times = { startedAt: Number.POSITIVE_INFINITY };
   let spoiled = 0;
   let complete = 0;
@@ -72,9 +58,7 @@
     const isInTrouble = isTroubled && index === 0;
     replicas.push(await startReplica(deployment, plan, createStreams(isInTrouble)));
   }
-  const passedOn = new Set();
-  const app = { id: 'i-app', service: 'app', capacity: 10 };
-  replicas.push(await startReplica(deployment, app, serveOrder));
+  replicas.push(await buyers.startReplica(deployment));
   atEnd(() => Promise.all(replicas.map((replica) => replica.close())));
   await deployment.waitUntilReady();
   await delay(1_500);
@@ -82,31 +66,25 @@
 
   let isOver = false;
   let peakMb = 0;
-  const cutOff = [];
-  let answered = 0;
   const sampling = sample();
-  const callers = Array.from({ length: CALLERS }, placeOrders);
+  const buying = buyers.run(gateway.http, BUYERS);
   await delay(SETTLE_MS);
   times.startedAt = performance.now();
   const streams = Array.from({ length: STREAM_CALLERS }, explain);
   await Promise.race([delay(TROUBLE_MS + AFTER_MS), gateway.exited]);
   isOver = true;
-  await Promise.all([sampling, ...streams, ...callers]);
+  buyers.stop();
+  await Promise.all([sampling, buying, ...streams]);
   const seconds = ((performance.now() - times.startedAt) / 1_000).toFixed(1);
   record.note(
     `streams over ${seconds} s: ${complete} complete, ${incomplete} not; ${spoiled} spoiled`,
   );
   record.note(`the gateway took ${peakMb} MB at most`);
-  record.note(
-    `orders: ${answered} answered; passed on and cut off: ${cutOff.join(', ') || 'none'}`,
-  );
   for (const end of gateway.ends) {
     const reason = gateway.output.findLast((line) => line.includes('FATAL')) ?? '';
     record.note(`the gateway ended (${end}) ${reason}`);
   }
-  if (cutOff.length > MAX_CUT_OFF) {
-    record.breaks(`${cutOff.length} requests passed on to a sound replica ended without an answer`);
-  }
+  buyers.judge(record);
 
   /** Asks for one stream after the other. */
   async function explain() {
@@ -143,31 +121,6 @@
     };
   }
 
-  async function serveOrder(request, response) {
-    passedOn.add(request.headers['turmericrack-attempt-id']);
-    await delay(request.url === '/order/first' ? FIRST_WORK_MS : WORK_MS);
-    if (!response.destroyed) answer(response, 'placed');
-  }
-
-  /** Sends one order after the other on one connection until it ends. */
-  async function placeOrders() {
-    const socket = await openConnection(gateway.http);
-    for (let count = 0; !isOver && !socket.destroyed; count += 1) {
-      const id = createAttemptId();
-      const path = count === 0 ? '/order/first' : '/order/next';
-      const response = readResponse(socket);
-      socket.write(encodeRequest({ method: 'POST', path, id, deadlineMs: ORDER_DEADLINE_MS }));
-      const { status, end } = await response;
-      if (end === 'complete') {
-        answered += 1;
-      } else if (count > 0 && status === undefined && passedOn.has(id)) {
-        // The connection counts as kept from its second request on.
-        cutOff.push(id);
-      }
-    }
-    socket.destroy();
-  }
-
   async function sample() {
     while (!isOver) {
       peakMb = Math.max(peakMb, readMemoryMb(gateway));
@@ -210,13 +163,3 @@
   }
   response.end();
 }
-
-/** Memory of a process; 0 if it has ended. */
-function readMemoryMb({ child }) {
-  try {
-    const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
-    return Math.round(Number(/VmRSS:\s*(\d+)/.exec(status)?.[1] ?? 0) / 1_024);
-  } catch {
-    return 0;
-  }
-}
