gateway: hold the beginning of an event in memory in proportion to its bytes

Cause: the splitter kept the beginning of an event as one Buffer a chunk, while its limit and the account of the process counted the bytes of the chunks. A Buffer takes about 110 bytes however short it is, and keeps all that was read together with it: 512 KiB of an event took 59.3 MB in chunks of one byte, 30.4 MB in chunks of two, 1.9 MB in chunks of 60.

Change: pieces are copied into blocks that grow (common/byteBuffer), and the account counts what the blocks take. No limit was changed.

Evidence: eventSplitter.test.ts failed before for pieces of 1, 2, 7, 60, 700 and 9,000 bytes.

--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -3,6 +3,7 @@
  * endpoint after any event.
  */
 
+import { createByteBuffer } from '../common/byteBuffer.js';
 import type { MemoryPart } from '../common/clientMemory.js';
 import type { Route } from '../routing/types.js';
 
@@ -13,8 +14,6 @@
 const MAX_EVENT_BYTES = 1024 * 1024;
 /** The same while the gateway holds too much. */
 const MAX_EVENT_BYTES_WHEN_SHORT = 64 * 1024;
-/** Smaller remainders are copied, since they would keep all that was read together with them. */
-const MAX_COPIED_BYTES = 8 * 1024;
 
 /** Passes on one stream. */
 export interface EventSplitter {
@@ -43,9 +42,8 @@
 
 /** Creates a splitter for a new stream. */
 export function createEventSplitter(heldBytes: MemoryPart): EventSplitter {
-  /** Pieces of an incomplete event. They are joined only once, when the event is complete. */
-  let pieces: Buffer[] = [];
-  let bufferedBytes = 0;
+  const partialEvent = createByteBuffer(heldBytes);
+  let isAfterNewline = false;
   let lastEventId: string | undefined;
   let hasCompleteEvent = false;
 
@@ -57,14 +55,14 @@
       return hasCompleteEvent;
     },
     get hasPartialEvent() {
-      return bufferedBytes > 0;
+      return partialEvent.length > 0;
     },
     get isTooLong() {
       const limit = heldBytes.isExceeded ? MAX_EVENT_BYTES_WHEN_SHORT : MAX_EVENT_BYTES;
-      return bufferedBytes > limit;
+      return partialEvent.length > limit;
     },
     push,
-    dropPartialEvent: clear,
+    dropPartialEvent: () => partialEvent.clear(),
   };
 
   function push(chunk: Buffer): Buffer | undefined {
@@ -73,8 +71,7 @@
       buffer(chunk);
       return undefined;
     }
-    const complete = Buffer.concat([...pieces, chunk.subarray(0, end)]);
-    clear();
+    const complete = completeEvent(chunk.subarray(0, end));
     hasCompleteEvent = true;
     buffer(chunk.subarray(end));
     lastEventId = findLastId(complete) ?? lastEventId;
@@ -85,21 +82,20 @@
   function findEventEnd(chunk: Buffer): number | undefined {
     const at = chunk.lastIndexOf(EVENT_END);
     if (at >= 0) return at + EVENT_END.length;
-    const isSplit = chunk[0] === NEWLINE && pieces.at(-1)?.at(-1) === NEWLINE;
+    const isSplit = chunk[0] === NEWLINE && partialEvent.length > 0 && isAfterNewline;
     return isSplit ? 1 : undefined;
   }
 
-  function buffer(piece: Buffer): void {
-    if (piece.length === 0) return;
-    pieces.push(piece.length <= MAX_COPIED_BYTES ? Buffer.from(piece) : piece);
-    bufferedBytes += piece.length;
-    heldBytes.add(piece.length);
+  function completeEvent(rest: Buffer): Buffer {
+    if (partialEvent.length === 0) return Buffer.from(rest);
+    partialEvent.append(rest);
+    return partialEvent.take();
   }
 
-  function clear(): void {
-    heldBytes.add(-bufferedBytes);
-    pieces = [];
-    bufferedBytes = 0;
+  function buffer(piece: Buffer): void {
+    if (piece.length === 0) return;
+    partialEvent.append(piece);
+    isAfterNewline = piece.at(-1) === NEWLINE;
   }
 }
 
--- a/test/faults/memory.test.ts
+++ b/test/faults/memory.test.ts
@@ -167,6 +167,9 @@
     ['a body', '/endless/1?body'],
     ['events', '/resumable/1?events'],
     ['an event without end', '/resumable/1?event'],
+    // The gateway ran out of heap by one object for each chunk.
+    ['events in chunks of one byte', '/resumable/1?shortEvents'],
+    ['an event without end in chunks of one byte', '/resumable/1?shortChunks'],
   ];
   for (const [name, path] of cases) {
     it(`while callers do not read ${name}`, (test) =>
@@ -181,7 +184,7 @@
 
   it('while an endpoint sends each kind of bytes without end', (test) => {
     const toPath = (kind: EndlessKind): string =>
-      ['events', 'event', 'comments'].includes(kind)
+      ['events', 'event', 'comments', 'shortEvents', 'shortChunks'].includes(kind)
         ? `/resumable/1?${kind}`
         : `/endless/1?${kind}`;
     return check(
--- a/test/unit/gateway/eventSplitter.test.ts
+++ b/test/unit/gateway/eventSplitter.test.ts
@@ -4,11 +4,18 @@
 import { describe, it } from 'node:test';
 import { createClientMemory } from '../../../src/common/clientMemory.js';
 import { createEventObserver, createEventSplitter } from '../../../src/gateway/eventSplitter.js';
+import { createPieces, measureHeldBytes } from '../../fixtures/heldMemory.js';
 
 const stream = 'id: 1\ndata: one\n\nid: 2\ndata: an id: 9 in data\n\nid: 13\ndata: x\n\n';
 
 /** Time for 32 MiB of one event in 1 KiB chunks; joining it anew at each chunk takes minutes. */
 const MAX_SPLIT_MS = 1_000;
+/** Bytes of an event without end: half of what a stream may hold. */
+const PARTIAL_EVENT_BYTES = 512 * 1024;
+/** The same where each piece comes with a read of its own. */
+const SINGLE_PIECES = 4_096;
+/** What varies between two measurements of the memory of this process. */
+const MEASURED_WITHIN_BYTES = 256 * 1024;
 
 describe('an event splitter', () => {
   it('returns only complete events, for chunks of any size', () => {
@@ -56,8 +63,33 @@
     assert.equal(splitter.isTooLong, false);
     assert.equal(String(splitter.push(Buffer.from('data: c\n\n'))), 'data: c\n\n');
   });
+
+  // Streams in chunks of one byte took a hundred times their bytes, and the heap of a gateway.
+  for (const pieceBytes of [1, 2, 7, 60, 700, 4_000, 9_000]) {
+    it(`holds and counts what an event takes in pieces of ${pieceBytes} bytes`, () => {
+      checkHeldBytes(PARTIAL_EVENT_BYTES, createPieces(PARTIAL_EVENT_BYTES, pieceBytes));
+      const singleBytes = SINGLE_PIECES * Math.min(pieceBytes, 60);
+      checkHeldBytes(singleBytes, createPieces(singleBytes, Math.min(pieceBytes, 60), 1));
+    });
+  }
 });
 
+/** Checks what a splitter holds, and counts, for a partial event of `bytes` in all. */
+function checkHeldBytes(bytes: number, pieces: Iterable<Buffer>): void {
+  const { responses } = createClientMemory();
+  const splitter = createEventSplitter(responses);
+  const heldBytes = measureHeldBytes(() => {
+    for (const piece of pieces) splitter.push(piece);
+  });
+  assert.ok(splitter.hasPartialEvent);
+  const limitBytes = 2 * bytes + MEASURED_WITHIN_BYTES;
+  assert.ok(heldBytes < limitBytes, `${heldBytes} bytes for ${bytes}`);
+  assert.ok(responses.total >= bytes);
+  assert.ok(responses.total > heldBytes - MEASURED_WITHIN_BYTES, `${responses.total} counted`);
+  splitter.dropPartialEvent();
+  assert.equal(responses.total, 0);
+}
+
 describe('an event observer', () => {
   it('passes on all chunks, and tells whether the stream ends within an event', () => {
     const observer = createEventObserver();
