gateway: hold the beginning of a plain response in proportion to its bytes

What callers see: 400 of them ask for responses without end in chunks of one byte, and the gateway, with a heap of 128 MB, ends within 5 s.

Change: the beginning is kept in a ByteBuffer. Once a response is passed on as it arrives, its chunks no longer go through the buffer one by one.

Evidence: callHandler.test.ts failed before (22.0 MB for 200 KiB in chunks of one byte); so did memory.test.ts for 400 and 800 callers that do not read a body in chunks of one byte, which takes 133 and 155 MB of 200 now.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt to have an endpoint serve a request: the response so far and its load accounting. */
 
+import { createByteBuffer } from '../common/byteBuffer.js';
 import type { Clock } from '../common/clock.js';
 import type { MemoryPart } from '../common/clientMemory.js';
 import type { BegunStream } from './begunStreams.js';
@@ -61,8 +62,10 @@
   recordAbandonment(): void;
   /** Buffers bytes of a response that is forwarded later. */
   buffer(chunk: Buffer): void;
-  /** Whether the response should be forwarded as it arrives from now on. */
+  /** Whether the buffered bytes should be taken, and the rest be forwarded as it arrives. */
   readonly isBufferFull: boolean;
+  /** Whether the buffered bytes have been taken. */
+  readonly isForwarded: boolean;
   takeBuffered(): Buffer;
   /** Removes the prompt from the endpoint's backlog unless the response has started. */
   close(): void;
@@ -80,14 +83,13 @@
   const pendingTokens = endpoints.getUnreadTokens(endpoint) + promptTokens;
   const promptMs = pendingTokens * endpoints.getPromptTokenMs(endpoint);
   const expectedMs = Math.max(promptMs, EXPECTED_SHARE * objectiveMs);
+  const buffered = createByteBuffer(heldBytes);
   let lateAt = Number.NEGATIVE_INFINITY;
   let isServing = false;
   let chunks = 0;
   let firstChunkAt = 0;
   let lastByteAt: number | undefined;
   let longestPauseMs = 0;
-  let buffered: Buffer[] = [];
-  let bufferedBytes = 0;
   let isForwarded = false;
   let isPromptRemoved = false;
   let firstByteAt: number | undefined;
@@ -124,35 +126,26 @@
     recordAbandonment() {
       if (isCounted && isOverdue()) versionOutcomes.recordOverdue(call, countedVersion, endpoint);
     },
-    buffer(chunk) {
-      buffered.push(chunk);
-      bufferedBytes += chunk.length;
-      heldBytes.add(chunk.length);
-    },
+    buffer: (chunk) => buffered.append(chunk),
     get isBufferFull() {
-      if (isForwarded || bufferedBytes > MAX_BUFFERED_BYTES) return true;
-      return heldBytes.isExceeded && bufferedBytes > MAX_BUFFERED_BYTES_WHEN_SHORT;
+      if (buffered.length > MAX_BUFFERED_BYTES) return true;
+      return heldBytes.isExceeded && buffered.length > MAX_BUFFERED_BYTES_WHEN_SHORT;
+    },
+    get isForwarded() {
+      return isForwarded;
     },
     takeBuffered() {
-      const bytes = Buffer.concat(buffered);
       isForwarded = true;
-      dropBuffered();
-      return bytes;
+      return buffered.take();
     },
     close() {
       removePrompt();
       setServing(false);
-      dropBuffered();
+      buffered.clear();
     },
   };
   return attempt;
 
-  function dropBuffered(): void {
-    heldBytes.add(-bufferedBytes);
-    buffered = [];
-    bufferedBytes = 0;
-  }
-
   function isOverdue(): boolean {
     const silentMs = clock.now() - (lastByteAt ?? sentAt);
     const hasPauseObjective = chunks > 0 && Number.isFinite(pauseObjectiveMs);
--- a/src/gateway/callHandler.ts
+++ b/src/gateway/callHandler.ts
@@ -194,6 +194,7 @@
     progress.recordPause(attempt.recordBytes());
     if (head === undefined) return true;
     if (isStream && isSuccess(head)) return forward(attempt, head, chunk);
+    if (attempt.isForwarded) return writer.write(chunk);
     attempt.buffer(chunk);
     if (!attempt.isBufferFull) return true;
     if (!writer.hasStarted) {
--- a/test/faults/memory.test.ts
+++ b/test/faults/memory.test.ts
@@ -168,6 +168,7 @@
     ['events', '/resumable/1?events'],
     ['an event without end', '/resumable/1?event'],
     // The gateway ran out of heap by one object for each chunk.
+    ['a body in chunks of one byte', '/endless/1?shortChunks'],
     ['events in chunks of one byte', '/resumable/1?shortEvents'],
     ['an event without end in chunks of one byte', '/resumable/1?shortChunks'],
   ];
--- a/test/unit/gateway/callHandler.test.ts
+++ b/test/unit/gateway/callHandler.test.ts
@@ -11,9 +11,14 @@
   startHandler,
   WAIT_MS,
 } from '../../fixtures/gatewayCallHandler.js';
+import { createPieces, measureHeldBytes } from '../../fixtures/heldMemory.js';
 
 const DRIBBLE_WAIT_MS = 200;
 const DRIBBLE_INTERVAL_MS = 10;
+/** Less than the beginning of a response that is buffered. */
+const BUFFERED_BYTES = 200 * 1024;
+/** What varies between two measurements of the memory of this process. */
+const MEASURED_WITHIN_BYTES = 256 * 1024;
 
 describe('a call handler', () => {
   let started: ReturnType<typeof startHandler> | undefined;
@@ -71,6 +76,25 @@
     }
   });
 
+  // A response in chunks of one byte took a hundred times its bytes, and only those were counted.
+  it('holds and counts what a buffered response takes, in chunks of any size', () => {
+    for (const chunkBytes of [1, 3, 60, 1_000]) {
+      const { responses } = createClientMemory();
+      started = startHandler('idempotent', 1, { heldBytes: responses });
+      started.place();
+      const [exchange] = started.exchanges;
+      exchange?.onHead(200, []);
+      const heldBytes = measureHeldBytes(() => {
+        for (const chunk of createPieces(BUFFERED_BYTES, chunkBytes)) exchange?.onData(chunk);
+      });
+      const limitBytes = 2 * BUFFERED_BYTES + MEASURED_WITHIN_BYTES;
+      assert.ok(heldBytes < limitBytes, `${heldBytes} bytes in chunks of ${chunkBytes}`);
+      assert.ok(responses.total > heldBytes - MEASURED_WITHIN_BYTES, `${responses.total} counted`);
+      started.cancel('over');
+      assert.equal(responses.total, 0);
+    }
+  });
+
   it('retries a stalled attempt at another endpoint', () => {
     started = startHandler('idempotent', 2);
     started.place();
