gateway: join the pieces of a response that wait for a slow caller

What happens: a response in chunks of one byte whose caller does not read takes 1,761 KB of a gateway that counts it as some 30 KB.

Cause: each piece was written on its own, and a write that waits is several entries in the queue of its connection, however short it is.

Change: a response has one write in progress; what arrives meanwhile is joined for the next one, and counted with what waits in the connection.

--- a/src/gateway/responseWriter.ts
+++ b/src/gateway/responseWriter.ts
@@ -1,6 +1,11 @@
-/** Writes responses to callers: buffered ones with their length, streams as their events arrive. */
+/**
+ * Writes responses to callers: buffered ones with their length, streams as their events arrive. At
+ * most one write of a response is in progress; what arrives meanwhile is joined for the next one,
+ * because each write that waits takes some objects of the socket's queue however short it is.
+ */
 
 import type { ServerResponse } from 'node:http';
+import { createByteBuffer } from '../common/byteBuffer.js';
 import type { ResponseHead } from './types.js';
 import type { UnreadResponses } from './unreadResponses.js';
 
@@ -45,7 +50,11 @@
   response: ServerResponse,
 ): ResponseWriter {
   let hasStarted = false;
-  response.on('drain', onDrain);
+  /** What has arrived during the write in progress. */
+  const pending = createByteBuffer();
+  let isWriting = false;
+  let isFull = false;
+  response.once('close', pending.clear);
 
   return {
     get hasStarted() {
@@ -61,13 +70,9 @@
       hasStarted = true;
       writeHead(head.status, head.headers);
     },
-    write(chunk) {
-      const isWritable = response.write(chunk);
-      if (!isWritable) unread.watch(response);
-      return isWritable;
-    },
+    write,
     end() {
-      response.end();
+      response.end(pending.length > 0 ? pending.take() : undefined);
       unread.watch(response);
     },
     writeComplete,
@@ -75,6 +80,28 @@
     destroy: () => void response.destroy(),
   };
 
+  function write(chunk: Buffer): boolean {
+    if (isWriting) pending.append(chunk);
+    else writeNow(chunk);
+    isFull = response.writableLength + pending.length >= response.writableHighWaterMark;
+    if (isFull) unread.watch(response, pending);
+    return !isFull;
+  }
+
+  function writeNow(bytes: Buffer): void {
+    isWriting = true;
+    response.write(bytes, handleWritten);
+  }
+
+  function handleWritten(): void {
+    isWriting = false;
+    if (response.destroyed || response.writableEnded) return;
+    if (pending.length > 0) writeNow(pending.take());
+    if (!isFull || response.writableLength >= response.writableHighWaterMark) return;
+    isFull = false;
+    onDrain();
+  }
+
   function writeHead(status: number, headers: string[]): void {
     if (shouldClose()) headers.push('Connection', 'close');
     response.writeHead(status, headers);
--- a/src/gateway/unreadResponses.ts
+++ b/src/gateway/unreadResponses.ts
@@ -6,6 +6,7 @@
 
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { ByteBuffer } from '../common/byteBuffer.js';
 import type { MemoryPart } from '../common/clientMemory.js';
 import type { Logger } from '../common/logging.js';
 import { createRunningTime } from '../common/runningTime.js';
@@ -15,9 +16,13 @@
 /** The kernel shows progress only when a third of its buffer is free; slow readers need some time. */
 const STALL_TIMEOUT_MS = 3_000;
 
+/** Bytes of a response that wait until the write in progress has been sent. */
+type PendingBytes = Pick<ByteBuffer, 'capacity'>;
+
 /** A connection with responses of which a part has not been sent. */
 interface UnreadConnection {
-  responses: Set<ServerResponse>;
+  /** Responses, each with what waits for its next write. */
+  responses: Map<ServerResponse, PendingBytes | undefined>;
   unsentBytes: number;
   /** Changes with each byte that the connection takes. */
   progress: string | undefined;
@@ -36,8 +41,8 @@
 
 /** Responses whose callers have not read all of what has been written. */
 export interface UnreadResponses {
-  /** Watches a response until its caller has taken what has been written. */
-  watch(response: ServerResponse): void;
+  /** Watches a response until its caller has taken what has been written and what is pending. */
+  watch(response: ServerResponse, pending?: PendingBytes): void;
   /** Whether the connection was closed because its caller did not read. */
   wasClosed(response: ServerResponse): boolean;
   close(): void;
@@ -56,12 +61,12 @@
     close: () => clearInterval(timer),
   };
 
-  function watch(response: ServerResponse): void {
+  function watch(response: ServerResponse, pending?: PendingBytes): void {
     const { socket } = response.req;
     if (closed.has(socket) || response.writableLength === 0) return;
     const connection = unread.get(socket) ?? addConnection(socket);
     if (connection.responses.has(response)) return;
-    connection.responses.add(response);
+    connection.responses.set(response, pending);
     updateBytes(connection);
     timer ??= setInterval(() => {
       runningTime.advance();
@@ -72,7 +77,7 @@
 
   function addConnection(socket: Socket): UnreadConnection {
     const connection: UnreadConnection = {
-      responses: new Set(),
+      responses: new Map(),
       unsentBytes: 0,
       progress: undefined,
       progressAt: runningTime.now,
@@ -103,8 +108,8 @@
 
   function updateBytes(connection: UnreadConnection): void {
     let unsentBytes = 0;
-    for (const response of connection.responses) {
-      const bytes = response.destroyed ? 0 : response.writableLength;
+    for (const [response, pending] of connection.responses) {
+      const bytes = response.destroyed ? 0 : response.writableLength + (pending?.capacity ?? 0);
       if (bytes === 0) connection.responses.delete(response);
       unsentBytes += bytes;
     }
--- a/test/faults/memory.test.ts
+++ b/test/faults/memory.test.ts
@@ -171,6 +171,7 @@
     ['a body in chunks of one byte', '/endless/1?shortChunks'],
     ['events in chunks of one byte', '/resumable/1?shortEvents'],
     ['an event without end in chunks of one byte', '/resumable/1?shortChunks'],
+    ['a stream in chunks of one byte that is not split', '/stream/1?shortChunks'],
   ];
   for (const [name, path] of cases) {
     it(`while callers do not read ${name}`, (test) =>
--- a/test/unit/gateway/responseWriter.test.ts
+++ b/test/unit/gateway/responseWriter.test.ts
@@ -8,11 +8,17 @@
 import { awaitTurns } from '../../../src/common/eventLoop.js';
 import { createResponseWriter, type ResponseWriter } from '../../../src/gateway/responseWriter.js';
 import { waitFor } from '../../fixtures/deployment.js';
+import { measureHeldBytes } from '../../fixtures/heldMemory.js';
 
 /** Turns of the event loop in which bytes that are not held reach a caller on loopback. */
 const TURNS_TO_ARRIVE = 50;
 /** More than a connection takes without telling its writer to wait. */
 const LARGE_EVENT = Buffer.alloc(64 * 1024, 'x');
+/** What one read from an endpoint may bring in chunks of one byte. */
+const CHUNKS_OF_READ = 2_730;
+const RESPONSE_COUNT = 20;
+/** Several times what a response passes on before its endpoint has to wait. */
+const MAX_HELD_BYTES = 128 * 1024;
 const HEAD = { status: 200, headers: ['Content-Type', 'text/event-stream'] };
 
 interface HeldResponse {
@@ -96,3 +102,59 @@
     await waitFor('the second response', () => getText().includes('two'));
   });
 });
+
+describe('a response in short chunks whose caller does not read', () => {
+  // Each chunk was several entries in the queue of the socket, which counted as some bytes.
+  it('holds little more than its bytes, and arrives whole', async (context) => {
+    const text = 'abcdefghij'.repeat(CHUNKS_OF_READ);
+    const responses = await Promise.all(
+      Array.from({ length: RESPONSE_COUNT }, () => startResponses(context, 1)),
+    );
+    const heldBytes = measureHeldBytes(() => {
+      for (const { held } of responses) writeShortChunks(held[0], text);
+    });
+    const ownBytes = heldBytes / RESPONSE_COUNT;
+    assert.ok(ownBytes < MAX_HELD_BYTES, `${Math.round(ownBytes / 1_024)} KB each`);
+    for (const { held, getText } of responses) {
+      held[0]?.writer.end();
+      await waitFor('the end', () => getText().endsWith('\r\n0\r\n\r\n'));
+      const body = getText().slice(getText().indexOf('\r\n\r\n') + 4);
+      assert.equal(joinChunks(body), text);
+    }
+  });
+});
+
+/** Writes a text in chunks of one byte until the endpoint has to wait, then one more read. */
+function writeShortChunks(response: HeldResponse | undefined, text: string): void {
+  assert.ok(response !== undefined);
+  start(response);
+  const { writer } = response;
+  let rest = CHUNKS_OF_READ;
+  let written = 0;
+  let isWritable = true;
+  for (const chunk of createChunks(text)) {
+    isWritable = writer.write(chunk) && isWritable;
+    written += 1;
+    if (!isWritable) rest -= 1;
+    if (rest === 0) break;
+  }
+  assert.equal(isWritable, false);
+  writer.write(Buffer.from(text.slice(written)));
+}
+
+function* createChunks(text: string): Generator<Buffer> {
+  const bytes = Buffer.from(text);
+  for (let at = 0; at < bytes.length; at += 1) yield bytes.subarray(at, at + 1);
+}
+
+/** Decodes a body in chunks. */
+function joinChunks(body: string): string {
+  const parts: string[] = [];
+  for (let at = 0; ;) {
+    const sizeEnd = body.indexOf('\r\n', at);
+    const size = Number.parseInt(body.slice(at, sizeEnd), 16);
+    if (size === 0) return parts.join('');
+    parts.push(body.slice(sizeEnd + 2, sizeEnd + 2 + size));
+    at = sizeEnd + 2 + size + 2;
+  }
+}
