gateway: read short chunks in turns

What happens: endpoints that send short chunks without a pause hold up all other callers. Of ten such responses up to 28,316 chunks were read in one turn of the event loop.

Cause: responses are read in turns by their bytes, but a chunk takes time of its own, however short it is.

Change: a chunk costs its bytes and 512 more.

Evidence: readTurns.test.ts failed before, for chunks of 1 and 10 bytes; it is at most one read and the last part of another now.

--- a/src/common/readPacer.ts
+++ b/src/common/readPacer.ts
@@ -3,31 +3,38 @@
  * the process can pass it on is read in turns, so that no flood holds up other connections.
  */
 
-/** Bytes that are passed on before other connections have their turn. */
-const TURN_BYTES = 128 * 1024;
+/** Cost after which other connections have their turn. */
+const TURN_COST = 128 * 1024;
+/** Cost of a chunk, however short it is, in bytes that take as long to pass on. */
+const CHUNK_COST = 512;
 /** Data that takes longer to arrive than this, a turn at a time, is no flood. */
 const TURN_MS = 8;
 
 /** Decides when data is read. */
 export interface ReadPacer {
   /**
-   * Records bytes that were read. Returns false if nothing more should be read until `onTurn` is
+   * Records the cost of what was read. Returns false if nothing more should be read until `onTurn` is
    * called.
    */
-  mayContinue(bytes: number, onTurn: () => void): boolean;
+  mayContinue(cost: number, onTurn: () => void): boolean;
+}
+
+/** Returns what it costs to pass on a chunk, in bytes of one long chunk. */
+export function getReadCost(chunk: Buffer): number {
+  return chunk.length + CHUNK_COST;
 }
 
 export function createReadPacer(now: () => number): ReadPacer {
   const waiting: (() => void)[] = [];
-  let turnBytes = 0;
+  let turnCost = 0;
   let turnStartedAt = 0;
   let isScheduled = false;
 
   return { mayContinue };
 
-  function mayContinue(bytes: number, onTurn: () => void): boolean {
-    turnBytes += bytes;
-    if (turnBytes <= TURN_BYTES) return true;
+  function mayContinue(cost: number, onTurn: () => void): boolean {
+    turnCost += cost;
+    if (turnCost <= TURN_COST) return true;
     if (!isScheduled && now() - turnStartedAt > TURN_MS) {
       startTurn();
       return true;
@@ -38,7 +45,7 @@
   }
 
   function startTurn(): void {
-    turnBytes = 0;
+    turnCost = 0;
     turnStartedAt = now();
   }
 
@@ -48,7 +55,7 @@
     setImmediate(() => {
       isScheduled = false;
       startTurn();
-      while (waiting.length > 0 && turnBytes < TURN_BYTES) waiting.shift()?.();
+      while (waiting.length > 0 && turnCost < TURN_COST) waiting.shift()?.();
       if (waiting.length > 0) scheduleTurn();
     });
   }
--- a/src/gateway/endpointClient.ts
+++ b/src/gateway/endpointClient.ts
@@ -9,7 +9,7 @@
 } from '../common/endpointConnection.js';
 import { callAfterReading } from '../common/eventLoop.js';
 import { Client } from '../common/httpPool.js';
-import { createReadPacer, type ReadPacer } from '../common/readPacer.js';
+import { createReadPacer, getReadCost, type ReadPacer } from '../common/readPacer.js';
 import { splitAddress } from '../common/settings.js';
 import { toConnectFailure, type ConnectFailure } from './connectFailure.js';
 
@@ -20,8 +20,8 @@
 const IDLE_TIMEOUT_MS = 4_000;
 /** How much earlier than the endpoint the gateway closes an idle connection. */
 const IDLE_MARGIN_MS = 1_000;
-/** Bytes of a response that are passed on at once; few responses are longer. */
-const UNPACED_BYTES = 64 * 1024;
+/** Cost up to which a response is passed on at once, in bytes; few responses are longer. */
+const UNPACED_COST = 64 * 1024;
 /**
  * The beginning of a response. Within a head it shows that bytes which belong to no request were
  * broken off there, and that the response follows.
@@ -131,7 +131,7 @@
     const { link } = connection;
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
-    let bodyBytes = 0;
+    let readCost = 0;
     /** Whether the handler has asked to pause the response. */
     let isHeld = false;
     /** Whether the response waits until other connections have had their turn. */
@@ -164,10 +164,11 @@
         onResponseData(started, chunk) {
           recordResponse();
           if (isOver) return;
-          bodyBytes += chunk.length;
+          const cost = getReadCost(chunk);
+          readCost += cost;
           if (!handler.onData(chunk)) isHeld = true;
-          if (isInTurn && bodyBytes > UNPACED_BYTES) {
-            isInTurn = pacer.mayContinue(chunk.length, takeTurn);
+          if (isInTurn && readCost > UNPACED_COST) {
+            isInTurn = pacer.mayContinue(cost, takeTurn);
           }
           if (isHeld || !isInTurn) link.pause();
         },
