agents, entries: hold answers in proportion to their bytes

What happens: an answer in chunks of one byte took up to 28.4 MB for each 256 KiB that an agent retains or an entry holds back, and 67.9 MB for the last 4,096 bytes, if each chunk came with a read of its own; each chunk became a frame of its own.

Change: a ByteBuffer keeps them; successive chunks of a request become one frame of a message; at most 16 KiB wait in undici while an entry takes nothing.

--- a/src/agent/answerStream.ts
+++ b/src/agent/answerStream.ts
@@ -3,6 +3,7 @@
  * acknowledged with credit is retained, so that it can be resent after a lost connection.
  */
 
+import { createByteBuffer } from '../common/byteBuffer.js';
 import type { AgentFrameBody } from './types.js';
 
 /** Bytes that may be sent before the entry has granted credit. */
@@ -30,7 +31,7 @@
   send: (body: AgentFrameBody) => void,
   initialOffset: number,
 ): AnswerStream {
-  const retained: Buffer[] = [];
+  const retained = createByteBuffer();
   let retainedFrom = initialOffset;
   let length = initialOffset;
   let sendLimit = initialOffset + INITIAL_CREDIT_BYTES;
@@ -66,7 +67,7 @@
   function push(data: Buffer, onWritable: () => void): boolean {
     send({ $case: 'chunk', value: { offset: length, data } });
     length += data.length;
-    retained.push(data);
+    retained.append(data);
     if (length < sendLimit || isAbandoned) return true;
     pendingOnWritable = onWritable;
     return false;
@@ -85,30 +86,15 @@
   }
 
   function discardBefore(offset: number): void {
-    while (retainedFrom < offset) {
-      const first = retained[0];
-      if (first === undefined) return;
-      if (retainedFrom + first.length <= offset) {
-        retained.shift();
-        retainedFrom += first.length;
-        continue;
-      }
-      retained[0] = first.subarray(offset - retainedFrom);
-      retainedFrom = offset;
-    }
+    retained.discard(offset - retainedFrom);
+    retainedFrom = length - retained.length;
   }
 
   function attach(offset: number): boolean {
     if (offset < retainedFrom || offset > length) return false;
     if (started !== undefined) send(started);
-    let position = retainedFrom;
-    for (const chunk of retained) {
-      const skipped = Math.max(0, offset - position);
-      if (skipped < chunk.length) {
-        const data = chunk.subarray(skipped);
-        send({ $case: 'chunk', value: { offset: position + skipped, data } });
-      }
-      position += chunk.length;
+    if (offset < length) {
+      send({ $case: 'chunk', value: { offset, data: retained.read(offset - retainedFrom) } });
     }
     if (finished !== undefined) send(finished);
     return true;
--- a/src/agent/endpointClient.ts
+++ b/src/agent/endpointClient.ts
@@ -5,6 +5,7 @@
 
 import type { Dispatcher } from 'undici';
 import type { Dispatch, Header } from '../generated/dispatch.js';
+import { createByteBuffer } from '../common/byteBuffer.js';
 import { CONNECT_TIMEOUT_CODE } from '../common/endpointConnection.js';
 import { createEndpointPool } from './endpointPool.js';
 import type { TokenUsage } from './types.js';
@@ -12,6 +13,8 @@
 const PROBE_TIMEOUT_MS = 700;
 const ORDER_TIMEOUT_MS = 5_000;
 const TAIL_BYTES = 4_096;
+/** Bytes of an answer that wait while the entry grants no credit; each chunk of them is an object. */
+const MAX_WAITING_BYTES = 16 * 1024;
 /** Headers that apply to a single connection (RFC 9110, section 7.6.1). */
 const hopByHopHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'te']);
 
@@ -67,7 +70,8 @@
 
   async function request(options: Dispatcher.RequestOptions): Promise<SendResult> {
     try {
-      return { kind: 'answer', answer: toAnswer(await requestPool.request(options)) };
+      const response = await requestPool.request({ ...options, highWaterMark: MAX_WAITING_BYTES });
+      return { kind: 'answer', answer: toAnswer(response) };
     } catch (caught) {
       const reason = toReason(caught);
       return { kind: isConnectError(reason) ? 'notSent' : 'failed', reason };
@@ -140,20 +144,16 @@
   read(): string;
 }
 
-/** Creates an empty buffer. Chunks are stored as received and joined only when read. */
+/** Creates an empty buffer. */
 export function createTailBuffer(): TailBuffer {
-  const chunks: Buffer[] = [];
-  let length = 0;
+  const tail = createByteBuffer();
 
   return {
     push(data) {
-      chunks.push(data);
-      length += data.length;
-      while (length - (chunks[0]?.length ?? 0) >= TAIL_BYTES) {
-        length -= chunks.shift()?.length ?? 0;
-      }
+      tail.append(data.subarray(-TAIL_BYTES));
+      if (tail.length > 2 * TAIL_BYTES) tail.discard(tail.length - TAIL_BYTES);
     },
-    read: () => Buffer.concat(chunks).toString('utf8'),
+    read: () => tail.read(Math.max(0, tail.length - TAIL_BYTES)).toString('utf8'),
   };
 }
 
--- a/src/agent/entryConnections.ts
+++ b/src/agent/entryConnections.ts
@@ -15,6 +15,7 @@
   Hello,
   LoadReport,
 } from '../generated/dispatch.js';
+import { joinChunks } from './joinedChunks.js';
 import type { Scheduler } from './schedulerTypes.js';
 import type { AgentFrameBody } from './types.js';
 
@@ -87,7 +88,9 @@
     const entryKey = `${hello.entryId}/${hello.incarnation}`;
     clearTimeout(expiryTimers.get(entryKey));
     expiryTimers.delete(entryKey);
-    const batch = createFrameBatch<AgentFrame>((frames) => stream.write({ frames }));
+    const batch = createFrameBatch<AgentFrame>((frames) =>
+      stream.write({ frames: joinChunks(frames) }),
+    );
     connections.get(entryKey)?.stream.end();
     connections.set(entryKey, { stream, batch });
     const { id, agent } = host.settings;
--- a/src/entry/responseSinks.ts
+++ b/src/entry/responseSinks.ts
@@ -1,6 +1,7 @@
 /** Response sinks that stream a response to the caller or buffer it until it is complete. */
 
 import type { ServerResponse } from 'node:http';
+import { createByteBuffer, type ByteBuffer } from '../common/byteBuffer.js';
 import type { Header } from '../generated/dispatch.js';
 import { getStatus, toProblemBody, tryGetRetryAfterSeconds, type Problem } from './problem.js';
 import type { RequestResult, ResponseSink } from './types.js';
@@ -25,8 +26,8 @@
   requestId: string,
   onEnd: (result: RequestResult) => void,
 ): ResponseSink {
-  let bufferedChunks: Buffer[] | undefined;
-  let bufferedBytes = 0;
+  /** Undefined once the response is sent as it arrives. */
+  let held: ByteBuffer | undefined;
   let isEventStream = false;
 
   return { start, write, end };
@@ -38,7 +39,7 @@
     );
     setResponseHead(response, status, headers, requestId, agentId);
     if (isEventStream) response.flushHeaders();
-    else bufferedChunks = [];
+    else held = createByteBuffer();
   }
 
   function write(data: Buffer, onConsumed: () => void): void {
@@ -46,18 +47,17 @@
       onConsumed();
       return;
     }
-    if (bufferedChunks === undefined) {
+    if (held === undefined) {
       send(data, onConsumed);
       return;
     }
-    bufferedChunks.push(data);
-    bufferedBytes += data.length;
-    if (bufferedBytes <= MAX_BUFFERED_BYTES) {
+    held.append(data);
+    if (held.length <= MAX_BUFFERED_BYTES) {
       onConsumed();
       return;
     }
-    const bytes = Buffer.concat(bufferedChunks);
-    bufferedChunks = undefined;
+    const bytes = held.take();
+    held = undefined;
     send(bytes, onConsumed);
   }
 
@@ -71,7 +71,7 @@
     onEnd(result);
     if (response.destroyed) return;
     if (result.kind === 'complete') {
-      response.end(bufferedChunks === undefined ? undefined : Buffer.concat(bufferedChunks));
+      response.end(held?.take());
       return;
     }
     failResponse(response, result.problem, requestId, isEventStream);
@@ -83,7 +83,7 @@
   onEnd: (buffered: BufferedResponse, result: RequestResult) => void,
 ): ResponseSink {
   const buffered: BufferedResponse = { status: 0, headers: [], body: Buffer.alloc(0), agentId: '' };
-  const chunks: Buffer[] = [];
+  const body = createByteBuffer();
 
   return {
     start(status, headers, agentId) {
@@ -92,11 +92,11 @@
       buffered.agentId = agentId;
     },
     write(data, onConsumed) {
-      chunks.push(data);
+      body.append(data);
       onConsumed();
     },
     end(result) {
-      buffered.body = Buffer.concat(chunks);
+      buffered.body = body.take();
       onEnd(buffered, result);
     },
   };
