--- a/src/agent/joinedChunks.ts
+++ b/src/agent/joinedChunks.ts
@@ -1,43 +1,37 @@
 /** Joins frames that carry successive parts of one answer, since each frame takes memory of its own. */
 
-import type { AgentFrame, Chunk } from '../generated/dispatch.js';
+import type { AgentFrame } from '../generated/dispatch.js';
 
-/** Successive parts of an answer. */
-interface ChunkRun {
-  /** The chunk that they become. */
-  joined: Chunk;
-  parts: Buffer[];
-  /** Position after the last part. */
-  end: number;
-}
+/** Frames of one request that become one: a single frame of any kind, or successive chunks. */
+type FrameGroup = [AgentFrame, ...AgentFrame[]];
 
 /** Returns the frames in their order; successive chunks of a request become one. */
 export function joinChunks(frames: readonly AgentFrame[]): AgentFrame[] {
-  const result: AgentFrame[] = [];
-  const runs: ChunkRun[] = [];
-  /** By request: its latest frame, if that is a chunk. */
-  const openRuns = new Map<string, ChunkRun>();
-  for (const { requestId, body } of frames) {
-    const run = openRuns.get(requestId);
-    if (body?.$case === 'chunk' && run?.end === body.value.offset) {
-      run.parts.push(body.value.data);
-      run.end += body.value.data.length;
-      continue;
-    }
-    openRuns.delete(requestId);
-    if (body?.$case === 'chunk') {
-      const { offset, data } = body.value;
-      const joined = { offset, data };
-      const opened = { joined, parts: [data], end: offset + data.length };
-      openRuns.set(requestId, opened);
-      runs.push(opened);
-      result.push({ requestId, body: { $case: 'chunk', value: joined } });
+  const groups: FrameGroup[] = [];
+  const latestGroups = new Map<string, FrameGroup>();
+  for (const frame of frames) {
+    const latest = latestGroups.get(frame.requestId);
+    if (latest !== undefined && isNextChunk(frame, latest.at(-1))) {
+      latest.push(frame);
       continue;
     }
-    result.push({ requestId, body });
-  }
-  for (const { joined, parts } of runs) {
-    if (parts.length > 1) joined.data = Buffer.concat(parts);
+    const group: FrameGroup = [frame];
+    groups.push(group);
+    latestGroups.set(frame.requestId, group);
   }
-  return result;
+  return groups.map(joinGroup);
+}
+
+function isNextChunk({ body }: AgentFrame, previous: AgentFrame | undefined): boolean {
+  if (body?.$case !== 'chunk' || previous?.body?.$case !== 'chunk') return false;
+  const { offset, data } = previous.body.value;
+  return body.value.offset === offset + data.length;
+}
+
+function joinGroup(group: FrameGroup): AgentFrame {
+  const [first] = group;
+  if (group.length === 1 || first.body?.$case !== 'chunk') return first;
+  const parts = group.flatMap(({ body }) => (body?.$case === 'chunk' ? [body.value.data] : []));
+  const value = { offset: first.body.value.offset, data: Buffer.concat(parts) };
+  return { requestId: first.requestId, body: { $case: 'chunk', value } };
 }
--- a/src/common/readPacer.ts
+++ b/src/common/readPacer.ts
@@ -3,9 +3,9 @@
  * the process can pass it on is read in turns, so that no flood holds up other connections.
  */
 
-/** Cost after which other connections have their turn. */
+/** Cost after which other connections have their turn, in bytes. */
 const TURN_COST = 128 * 1024;
-/** Cost of a chunk, however short it is, in bytes that take as long to pass on. */
+/** Cost of a chunk beside that of its bytes; decoding even one byte takes some time. */
 const CHUNK_COST = 512;
 /** Data that takes longer to arrive than this, a turn at a time, is no flood. */
 const TURN_MS = 8;
@@ -19,7 +19,7 @@
   mayContinue(cost: number, onTurn: () => void): boolean;
 }
 
-/** Returns what it costs to pass on a chunk, in bytes of one long chunk. */
+/** Returns the cost of passing on a chunk, in bytes. */
 export function getReadCost(chunk: Buffer): number {
   return chunk.length + CHUNK_COST;
 }
