--- a/src/common/requestBody.ts
+++ b/src/common/requestBody.ts
@@ -1,16 +1,17 @@
 /**
- * Collects the body of a request from its first byte on, and joins its chunks. Chunks that wait in
- * the stream of a request are objects of their own: a body in chunks of one byte takes hundreds of
- * times its size there.
+ * Collects the body of a request from its first byte on, and copies small chunks together. Chunks
+ * that wait in the stream of a request are objects of their own: a body in chunks of one byte takes
+ * hundreds of times its size there.
  */
 
 import type { IncomingMessage } from 'node:http';
-import { createByteBuffer } from './byteBuffer.js';
 import { RaisedFailure } from './failure.js';
 import { takeReadTurn } from './readTurns.js';
 
-/** Size below which a chunk counts as small. */
-const SMALL_CHUNK_BYTES = 4 * 1024;
+/** Chunks from this size on are kept as they are. */
+const COPIED_BYTES = 4 * 1024;
+const MIN_BLOCK_BYTES = 512;
+const MAX_BLOCK_BYTES = 64 * 1024;
 /** Bytes that are taken before anybody reads the body. */
 const EARLY_BYTES = 64 * 1024;
 /** Small chunks after which other connections are read first: one read brings up to 10,922. */
@@ -60,8 +61,9 @@
 
 /** Begins to collect the body of a request. */
 export function collectBody(request: IncomingMessage, source: BodySource): BodyCollector {
-  const collected = createByteBuffer();
-  /** Bytes that have arrived, also those that were dropped since. */
+  let parts: Buffer[] = [];
+  let block = Buffer.alloc(0);
+  let blockUsed = 0;
   let size = 0;
   let state: 'arriving' | 'complete' | 'broken' | 'discarded' = 'arriving';
   let reader: Reader | undefined;
@@ -89,7 +91,7 @@
   return collector;
 
   function receive(chunk: Buffer): void {
-    if (chunk.length < SMALL_CHUNK_BYTES) pace();
+    if (chunk.length < COPIED_BYTES) pace();
     if (state === 'discarded') {
       discardedChunks += 1;
       if (discardedChunks === MAX_DISCARDED_CHUNKS) source.close();
@@ -100,11 +102,32 @@
       refuseTooLarge(reader);
       return;
     }
-    collected.append(chunk);
+    if (chunk.length < COPIED_BYTES) copy(chunk);
+    else {
+      sealBlock();
+      parts.push(chunk);
+    }
     if (reader !== undefined) reserve(reader);
     else if (size > EARLY_BYTES) setHeld(true);
   }
 
+  function copy(chunk: Buffer): void {
+    if (blockUsed + chunk.length > block.length) {
+      sealBlock();
+      const next = Math.min(Math.max(size, chunk.length, MIN_BLOCK_BYTES), MAX_BLOCK_BYTES);
+      block = Buffer.allocUnsafeSlow(next);
+    }
+    chunk.copy(block, blockUsed);
+    blockUsed += chunk.length;
+  }
+
+  /** Adds what has been copied to the parts; the rest of the block is used for what follows. */
+  function sealBlock(): void {
+    if (blockUsed > 0) parts.push(block.subarray(0, blockUsed));
+    block = block.subarray(blockUsed);
+    blockUsed = 0;
+  }
+
   function settle(reached: 'complete' | 'broken'): void {
     if (state !== 'arriving') return;
     state = reached;
@@ -143,23 +166,27 @@
 
   function finish({ resolve, reject }: Reader): void {
     if (state !== 'complete') {
-      collected.clear();
+      drop();
       reject('the body was cut off');
       return;
     }
-    resolve(collected.take());
+    sealBlock();
+    const [first] = parts;
+    const body = parts.length === 1 && first !== undefined ? first : Buffer.concat(parts);
+    drop();
+    resolve(body);
   }
 
   function refuseTooLarge({ maxBytes, reject }: Reader): void {
     isTooLarge = true;
     state = 'discarded';
-    collected.clear();
+    drop();
     setHeld(true);
     reject(`the body is larger than ${maxBytes} bytes`);
   }
 
   function discard(): void {
-    collected.clear();
+    drop();
     if (state === 'arriving') state = 'discarded';
     // Whoever reads it would wait for ever.
     reader?.reject('the body was cut off');
@@ -167,6 +194,12 @@
     else setHeld(false);
   }
 
+  function drop(): void {
+    parts = [];
+    block = Buffer.alloc(0);
+    blockUsed = 0;
+  }
+
   function pace(): void {
     chunkCount += 1;
     if (chunkCount < CHUNKS_PER_TURN || isPaced) return;
