--- a/src/daemon/gatewayProcess.ts
+++ b/src/daemon/gatewayProcess.ts
@@ -9,6 +9,7 @@
 import type { Logger } from '../common/logging.js';
 import type { MetricsRecorder } from '../common/metricsRecorder.js';
 import { createPeerMetadata, resolveAddress } from '../common/rpc.js';
+import { startTurnTime } from '../common/turnTime.js';
 import type { GatewayProcessSettings } from '../common/settings.js';
 import { createCrashRecords } from '../crashes/crashRecords.js';
 import { createFeedClient } from '../feed/feedClient.js';
@@ -16,6 +17,7 @@
 import type { CallSummary } from '../gateway/callProgress.js';
 import { createBodyReader } from '../gateway/bodyReader.js';
 import { startCallServer } from '../gateway/callServer.js';
+import { createCallStarts } from '../gateway/callStarts.js';
 import { createCrashDetector } from '../gateway/crashDetector.js';
 import { createCrashSuspects } from '../gateway/crashSuspects.js';
 import { createDrain } from '../gateway/drain.js';
@@ -108,6 +110,8 @@
     () => quotas.gatewayCount,
   );
   const stallDetector = createStallDetector(now);
+  const turnTime = startTurnTime(clock, logger);
+  const starts = createCallStarts({ now, random: Math.random });
   const crashRecords = createCrashRecords(now);
   const crashSuspects = createCrashSuspects({ now, logger, records: crashRecords });
   const streamOrigins = createStreamOrigins(now);
@@ -200,6 +204,7 @@
     table: tableView,
     tryGetLimits: () => limits,
     quotas,
+    starts,
     originLookup: createOriginLookup({
       origins: streamOrigins,
       askKeepers: (callIds, onOrigins) => feed.findStreamOrigins(callIds, onOrigins),
@@ -267,6 +272,8 @@
   function createReport(): GatewayReport {
     metrics.gauge('gatewayWaiting', scheduler.waitingCount);
     metrics.gauge('gatewayLimitedEndpoints', endpoints.limitedCount);
+    metrics.gauge('gatewayTurn', turnTime.meanMs);
+    metrics.gauge('gatewayUnstarted', starts.waitingCount);
     return {
       gatewayId: settings.id,
       incarnation,
@@ -325,6 +332,7 @@
     feed.close();
     scheduler.close();
     stallDetector.close();
+    turnTime.close();
     void readinessServer.close();
     endpoints.close();
   }
--- a/src/gateway/callServer.ts
+++ b/src/gateway/callServer.ts
@@ -5,13 +5,14 @@
 import polka from 'polka';
 import { limitClients, type ClientLimits } from '../common/clientConnections.js';
 import type { Clock } from '../common/clock.js';
-import { awaitTurns } from '../common/eventLoop.js';
+import { awaitReading, type ReadingTime } from '../common/eventLoop.js';
 import { createHttpServer, listenOn } from '../common/httpServer.js';
 import { keepUnsentResponses } from '../common/idleConnections.js';
 import type { Logger } from '../common/logging.js';
 import type { CallerLimits, Route } from '../routing/types.js';
 import type { BodyReader } from './bodyReader.js';
 import { admit, consumeQuota, type Admission, type TableState } from './callAdmission.js';
+import type { CallStarts } from './callStarts.js';
 import { suspectReply } from './crashSuspects.js';
 import { startCallHandler, type CallHandler, type CallHandlerHost } from './callHandler.js';
 import { stoppingReply, type Drain } from './drain.js';
@@ -32,8 +33,8 @@
  * 3,800 pipelined requests filled a heap of 128 MB.
  */
 const RUNNING_BYTES = 30 * 1024;
-/** Turns of the event loop in which the end of a connection follows its request at the latest. */
-const TURNS_TO_NOTICE_CLOSE = 6;
+/** Time in which the end of a connection follows its request at the latest. */
+const TIME_TO_NOTICE_CLOSE: ReadingTime = { minTurns: 2, maxTurns: 6, milliseconds: 10 };
 
 /** Dependencies of the server. */
 export interface CallServerHost {
@@ -48,6 +49,7 @@
   table: TableState;
   tryGetLimits(): CallerLimits | undefined;
   quotas: Quotas;
+  starts: Pick<CallStarts, 'wait' | 'stop'>;
   originLookup: OriginLookup;
   handlerHost: CallHandlerHost;
   unread: UnreadResponses;
@@ -95,6 +97,7 @@
     },
     closeIdle: () => server.closeIdleConnections(),
     endCalls() {
+      host.starts.stop();
       for (const handler of handlers) handler.stop();
     },
     close() {
@@ -149,11 +152,20 @@
     }
     // Its caller may have closed the connection after sending it, which is noticed before the request
     // counts against its team's quota and is sent to an endpoint.
-    await awaitTurns(TURNS_TO_NOTICE_CLOSE);
+    await awaitReading(() => clock.now(), TIME_TO_NOTICE_CLOSE);
     if (isCallerGone()) {
       endAbandoned(response, head, arrivedAt);
       return;
     }
+    const refusal = await awaitStart(head);
+    if (isCallerGone()) {
+      endAbandoned(response, head, arrivedAt);
+      return;
+    }
+    if (refusal !== undefined) {
+      refuse(writer, request, head, refusal);
+      return;
+    }
     const call = await tryCreateCall(request, response, { head, arrivedAt, writer });
     if (call === undefined) return;
     if (isCallerGone()) {
@@ -180,6 +192,18 @@
     return true;
   }
 
+  /** Resolves when a request may be started, or to the reply with which it is refused. */
+  async function awaitStart(head: RequestHead): Promise<LocalReply | undefined> {
+    const admission = admit(host.table, head, host.random());
+    if (admission.kind === 'refused') return admission.reply;
+    const { route, team } = admission.request;
+    return host.starts.wait({
+      teamRank: team?.rank ?? 0,
+      routeRank: route.rank,
+      isContinued: isContinuation(head, route),
+    });
+  }
+
   /** Reads and admits a request; returns undefined if it has been refused. */
   async function tryCreateCall(
     request: IncomingMessage,
