--- a/test/faults/busyGateways.test.ts
+++ b/test/faults/busyGateways.test.ts
@@ -4,7 +4,6 @@
 import { after, before, describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { Agent, request, type Dispatcher } from 'undici';
-import { costlySendsArgs } from '../fixtures/costlySendsPreload.js';
 import {
   addRoutes,
   createGatewayDeployment,
@@ -13,6 +12,8 @@
   type TableBody,
 } from '../fixtures/gatewayDeployment.js';
 
+/** Options of Node for a gateway that sends 125 requests per second at most. */
+const costlySendsArgs = ['--import', './dist/run/test/fixtures/costlySendsPreload.mjs'];
 /** Objective of both routes. */
 const OBJECTIVE_MS = 600;
 const DEADLINE_MS = 5_000;
