--- a/src/gateway/callStarts.ts
+++ b/src/gateway/callStarts.ts
@@ -1,16 +1,18 @@
 /**
- * Starts requests that have been read, one in a turn of the event loop. It answers one load: more
- * requests than the processor can pass on. A process accepts one connection in a turn, and a request
- * takes several turns, so turns in which all waiting requests are started would keep callers unheard
- * and every response late. What does not get its turn soon is refused while its caller still waits.
+ * Starts requests that have been read, for a short time in each turn of the event loop. It answers one
+ * load: more requests than the processor can pass on. A process accepts one connection in a turn, and a
+ * request takes several turns, so turns in which all waiting requests are started would keep callers
+ * unheard and every response late. What is not started soon is refused while its caller still waits.
  */
 
 import { getQueueRank } from './queueRank.js';
 import type { LocalReply } from './responseWriter.js';
 import { createWaitingQueue, type QueueItem } from './waitingQueue.js';
 
+/** Time after which no more requests are started in a turn. */
+const MAX_TURN_MS = 5;
 /** Longest time for which a request waits. */
-const MAX_WAIT_MS = 300;
+const MAX_WAIT_MS = 400;
 /** Number of starts of which one goes to any request, urgent or not. */
 const FAIR_PERIOD = 4;
 /** Bounds of the time after which refused callers return, to this gateway or another one. */
@@ -47,6 +49,8 @@
 export function createCallStarts({ now, random }: CallStartsHost): CallStarts {
   const queue = createWaitingQueue<WaitingCall>();
   let startCount = 0;
+  /** Whether a turn is due, or requests are being started in one. */
+  let isTurnPending = false;
   let isStopped = false;
 
   return {
@@ -68,18 +72,34 @@
     const kind = { isLate: false, isShort: true, wasInterrupted: isContinued };
     const rank = getQueueRank({ ...ranks, ...kind });
     return new Promise((resolve) => {
-      if (queue.size === 0) setImmediate(runTurn);
+      if (!isTurnPending) setImmediate(runTurn);
+      isTurnPending = true;
       queue.push({ rank, arrivedAt: now(), resolve });
     });
   }
 
   function runTurn(): void {
+    startNext(now() + MAX_TURN_MS);
+  }
+
+  function startNext(turnEndsAt: number): void {
     const next = tryGetNext();
-    if (next === undefined) return;
+    if (next === undefined) {
+      isTurnPending = false;
+      return;
+    }
     queue.remove(next);
     next.resolve();
+    callAfterMicrotasks(() => {
+      if (queue.size > 0 && now() < turnEndsAt) startNext(turnEndsAt);
+      else endTurn();
+    });
+  }
+
+  function endTurn(): void {
     refuseExpired(now() - MAX_WAIT_MS);
-    if (queue.size > 0) setImmediate(runTurn);
+    isTurnPending = queue.size > 0;
+    if (isTurnPending) setImmediate(runTurn);
   }
 
   function refuseExpired(latestArrival: number): void {
@@ -107,3 +127,8 @@
     return candidates[Math.floor(random() * candidates.length)];
   }
 }
+
+/** Calls `task` once what was resolved has run as far as it does without waiting for events. */
+function callAfterMicrotasks(task: () => void): void {
+  queueMicrotask(() => process.nextTick(task));
+}
