--- a/src/common/turnTime.ts
+++ b/src/common/turnTime.ts
@@ -53,13 +53,13 @@
 }
 
 /** Mean of the samples of the last `MEAN_TIME_MS`, of which later ones count for more. */
-export interface TurnMean {
+interface TurnMean {
   readonly valueMs: number;
   add(turnMs: number, now: number): void;
 }
 
 /** Creates a mean of 0. */
-export function createTurnMean(): TurnMean {
+function createTurnMean(): TurnMean {
   let valueMs = 0;
   let addedAt = Number.NEGATIVE_INFINITY;
 
--- a/test/faults/busyGateways.test.ts
+++ b/test/faults/busyGateways.test.ts
@@ -66,6 +66,25 @@
   };
 }
 
+async function send(
+  deployment: GatewayDeployment,
+  dispatcher: Agent,
+  path: string,
+  signal?: AbortSignal,
+): Promise<Answer> {
+  const response = await request(`http://${deployment.getGatewayAddress(0)}${path}`, {
+    dispatcher,
+    headers: {
+      host: 'a.example',
+      'turmericrack-attempt-id': crypto.randomUUID(),
+      'turmericrack-deadline-ms': String(DEADLINE_MS),
+    },
+    signal,
+  });
+  await response.body.dump();
+  return toAnswer(response);
+}
+
 function getServedShare(answers: readonly Answer[]): number {
   return answers.filter(({ status }) => status === 200).length / answers.length;
 }
@@ -113,26 +132,13 @@
   async function call(route: string): Promise<Outcome> {
     const startedAt = performance.now();
     try {
-      const { status, retryAfter } = await send(route);
+      const { status, retryAfter } = await send(deployment, agent, `/${route}/`);
       return { status, retryAfter, elapsedMs: performance.now() - startedAt };
     } catch {
       return { status: 0, retryAfter: undefined, elapsedMs: performance.now() - startedAt };
     }
   }
 
-  async function send(route: string): Promise<Answer> {
-    const response = await request(`http://${deployment.getGatewayAddress(0)}/${route}/`, {
-      dispatcher: agent,
-      headers: {
-        host: 'a.example',
-        'turmericrack-attempt-id': crypto.randomUUID(),
-        'turmericrack-deadline-ms': String(DEADLINE_MS),
-      },
-    });
-    await response.body.dump();
-    return toAnswer(response);
-  }
-
   it('answers urgent requests in time while less urgent ones come in excess', () => {
     const inTime = outcomes.urgent.filter(
       ({ status, elapsedMs }) => status === 200 && elapsedMs <= OBJECTIVE_MS,
@@ -186,26 +192,12 @@
 
   async function trySend(dispatcher: Agent, path: string): Promise<Answer> {
     try {
-      return await send(dispatcher, path);
+      return await send(deployment, dispatcher, path, AbortSignal.timeout(PROBE_TIMEOUT_MS));
     } catch {
       return { status: 0, retryAfter: undefined };
     }
   }
 
-  async function send(dispatcher: Agent, path: string): Promise<Answer> {
-    const response = await request(`http://${deployment.getGatewayAddress(0)}${path}`, {
-      dispatcher,
-      headers: {
-        host: 'a.example',
-        'turmericrack-attempt-id': crypto.randomUUID(),
-        'turmericrack-deadline-ms': String(DEADLINE_MS),
-      },
-      signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
-    });
-    await response.body.dump();
-    return toAnswer(response);
-  }
-
   async function probe(): Promise<Answer> {
     const newConnection = new Agent();
     const answer = await trySend(newConnection, '/new-2/');
