--- a/src/common/readPacer.ts
+++ b/src/common/readPacer.ts
@@ -7,8 +7,8 @@
 const TURN_COST = 128 * 1024;
 /** Cost of a chunk beside that of its bytes; decoding even one byte takes some time. */
 const CHUNK_COST = 512;
-/** Data that takes longer to arrive than this, a turn at a time, is no flood. */
-const TURN_MS = 8;
+/** Time after which they have it, however little was read: a process may have little processor time. */
+const MAX_TURN_MS = 10;
 
 /** Decides when data is read. */
 export interface ReadPacer {
@@ -24,39 +24,39 @@
   return chunk.length + CHUNK_COST;
 }
 
+/** Creates a pacer whose turns are those of the event loop. */
 export function createReadPacer(now: () => number): ReadPacer {
   const waiting: (() => void)[] = [];
+  let isTurnOpen = false;
   let turnCost = 0;
-  let turnStartedAt = 0;
-  let isScheduled = false;
+  let turnEndsAt = 0;
 
   return { mayContinue };
 
   function mayContinue(cost: number, onTurn: () => void): boolean {
+    openTurn();
     turnCost += cost;
-    if (turnCost <= TURN_COST) return true;
-    if (!isScheduled && now() - turnStartedAt > TURN_MS) {
-      startTurn();
-      return true;
-    }
+    if (!isTurnOver()) return true;
     waiting.push(onTurn);
-    scheduleTurn();
     return false;
   }
 
-  function startTurn(): void {
+  function openTurn(): void {
+    if (isTurnOpen) return;
+    isTurnOpen = true;
     turnCost = 0;
-    turnStartedAt = now();
+    turnEndsAt = now() + MAX_TURN_MS;
+    setImmediate(endTurn);
   }
 
-  function scheduleTurn(): void {
-    if (isScheduled) return;
-    isScheduled = true;
-    setImmediate(() => {
-      isScheduled = false;
-      startTurn();
-      while (waiting.length > 0 && turnCost < TURN_COST) waiting.shift()?.();
-      if (waiting.length > 0) scheduleTurn();
-    });
+  function endTurn(): void {
+    isTurnOpen = false;
+    if (waiting.length === 0) return;
+    openTurn();
+    while (waiting.length > 0 && !isTurnOver()) waiting.shift()?.();
+  }
+
+  function isTurnOver(): boolean {
+    return turnCost > TURN_COST || now() >= turnEndsAt;
   }
 }
